Add design page, core types and kernel

The repository was empty. The design page sets the requirements, the modules and the failure handling; core holds value types and result codes; kernel holds the plug-in registry, checked settings, fx lifecycle and the published state.

go vet is clean; no tests exist yet.

--- /dev/null
+++ b/core/view.go
@@ -0,0 +1,161 @@
+package core
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+type (
+	// VMName names an entry VM.
+	VMName string
+	// Incarnation tells the process starts of one VM apart; a later start has a higher number.
+	Incarnation uint64
+)
+
+// VMState is the state of a VM as another VM sees it.
+type VMState int
+
+// VM states.
+const (
+	VMLive VMState = iota
+	VMLeaving
+	VMSuspect
+	VMGone
+)
+
+// String returns the name of the state.
+func (s VMState) String() string {
+	names := [...]string{"live", "leaving", "suspect", "gone"}
+	if s < 0 || int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
+// VM is one entry VM in a member list.
+type VM struct {
+	Name        VMName        `json:"name"`
+	Incarnation Incarnation   `json:"incarnation"`
+	Domain      FailureDomain `json:"domain"`
+	PeerAddress string        `json:"peer_address"`
+	State       VMState       `json:"state"`
+}
+
+// Members is the member list of one view. It is immutable once published.
+type Members struct {
+	Self VM
+	// All holds every known VM, Self included, ordered by name.
+	All []VM
+}
+
+// Find returns the VM with the given name, or nil.
+func (m *Members) Find(name VMName) *VM {
+	if m == nil {
+		return nil
+	}
+	for i := range m.All {
+		if m.All[i].Name == name {
+			return &m.All[i]
+		}
+	}
+	return nil
+}
+
+// Ownership says which VM owns each upstream, as far as this VM knows. It is immutable once published.
+type Ownership struct {
+	// Owner holds the believed owner of each upstream.
+	Owner map[UpstreamID]VMName
+	// Held is the set of upstreams that this VM may use itself.
+	Held map[UpstreamID]bool
+}
+
+// Window is the range of index versions that an upstream holds. The zero value means not known.
+type Window struct {
+	Oldest IndexVersion `json:"oldest"`
+	Newest IndexVersion `json:"newest"`
+}
+
+// Holds reports whether the window contains the version.
+func (w Window) Holds(v IndexVersion) bool { return v >= w.Oldest && v <= w.Newest && w.Newest != 0 }
+
+// UpstreamState is what this VM observed of one upstream. All fields are atomics: consecutive views share the value
+// by pointer and requests update it without a lock.
+type UpstreamState struct {
+	// InFlight is the number of attempts that this VM has sent and that have not ended.
+	InFlight atomic.Int64
+	// Sent, Failed and Shed count attempts.
+	Sent, Failed, Shed atomic.Uint64
+	// FirstUsed is the Unix time in nanoseconds of the first attempt after a cold start, 0 when unused.
+	FirstUsed atomic.Int64
+	// DrainSince is the Unix time in nanoseconds of the first sign of draining, 0 when not draining.
+	DrainSince atomic.Int64
+	// EjectedUntil is the Unix time in nanoseconds until which the upstream gets no new work.
+	EjectedUntil atomic.Int64
+	latency      atomic.Uint64
+	window       atomic.Pointer[Window]
+}
+
+// Latency returns the moving average of the latency, 0 when nothing was observed.
+func (s *UpstreamState) Latency() time.Duration {
+	return time.Duration(math.Float64frombits(s.latency.Load()))
+}
+
+// latencyWeight is the weight of a new observation in the moving average.
+const latencyWeight = 0.1
+
+// ObserveLatency adds one latency to the moving average.
+func (s *UpstreamState) ObserveLatency(d time.Duration) {
+	for {
+		old := s.latency.Load()
+		mean := math.Float64frombits(old)
+		next := float64(d)
+		if old != 0 {
+			next = mean + latencyWeight*(float64(d)-mean)
+		}
+		if s.latency.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
+
+// Window returns the last known range of index versions.
+func (s *UpstreamState) Window() Window {
+	if w := s.window.Load(); w != nil {
+		return *w
+	}
+	return Window{}
+}
+
+// SetWindow stores the range of index versions; a range with a lower newest version is ignored, because results
+// arrive out of order.
+func (s *UpstreamState) SetWindow(w Window) {
+	for {
+		old := s.window.Load()
+		if w.Newest == 0 || (old != nil && (old.Newest > w.Newest || *old == w)) {
+			return
+		}
+		if s.window.CompareAndSwap(old, &w) {
+			return
+		}
+	}
+}
+
+// View is everything a request needs to know, read once through one atomic pointer. It is immutable but for the
+// atomics behind Upstreams.
+type View struct {
+	Config    *ConfigSet
+	Members   *Members
+	Ownership *Ownership
+	// Upstreams holds the observed state of each upstream of Config.
+	Upstreams map[UpstreamID]*UpstreamState
+	// Ready is false until the VM has a configuration and while it stops.
+	Ready bool
+	// PlatformSince is the time of the last contact with the platform; zero before the first.
+	PlatformSince time.Time
+	// Stale is true while the platform is out of reach, so that the configuration may be old.
+	Stale bool
+}
+
+// State returns the observed state of an upstream, or nil.
+func (v *View) State(id UpstreamID) *UpstreamState { return v.Upstreams[id] }
--- /dev/null
+++ b/kernel/app.go
@@ -0,0 +1,125 @@
+package kernel
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"gooseberrylane.example/core"
+)
+
+// Identity tells plug-ins who and where this process is.
+type Identity struct {
+	VM          core.VMName
+	Domain      core.FailureDomain
+	Incarnation core.Incarnation
+}
+
+// Options change how an application is built. The zero value is right for a daemon.
+type Options struct {
+	// Log receives JSON lines; nil discards them.
+	Log io.Writer
+	// Clock replaces the system clock.
+	Clock Clock
+	// Extra are further fx options, used by tests and by programs that embed the kernel.
+	Extra []fx.Option
+}
+
+// App is one running set of plug-ins.
+type App struct {
+	fx          *fx.App
+	log         *slog.Logger
+	stopTimeout time.Duration
+	// State is the published state of the application.
+	State *State
+	// Identity is the identity of the process.
+	Identity Identity
+}
+
+// startTimeout bounds the start of all plug-ins.
+const startTimeout = 30 * time.Second
+
+// New builds an application from checked settings. Plug-ins start in the order of their dependencies and stop in the
+// reverse order, each bounded by the stop timeout.
+func New(loaded *Loaded, opts Options) (*App, error) {
+	clock := opts.Clock
+	if clock == nil {
+		clock = SystemClock{}
+	}
+	settings := loaded.Settings
+	identity := Identity{
+		VM:          core.VMName(settings.VM.Name),
+		Domain:      core.FailureDomain(settings.VM.FailureDomain),
+		Incarnation: core.Incarnation(clock.Now().UnixNano()),
+	}
+	app := &App{
+		log:         newLogger(opts.Log, settings.LogLevel, identity),
+		stopTimeout: time.Duration(settings.StopTimeoutMS) * time.Millisecond,
+		State:       NewState(),
+		Identity:    identity,
+	}
+	options := []fx.Option{
+		fx.Supply(identity, app.State, app.log, NewRandom(settings.Seed)),
+		fx.Provide(func() Clock { return clock }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(app.stopTimeout),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	}
+	for _, selected := range loaded.Selected {
+		options = append(options, selected.Plugin.Options(selected.Settings))
+	}
+	options = append(options, opts.Extra...)
+	app.fx = fx.New(options...)
+	return app, app.fx.Err()
+}
+
+func newLogger(w io.Writer, level string, identity Identity) *slog.Logger {
+	if w == nil {
+		w = io.Discard
+	}
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		l = slog.LevelInfo
+	}
+	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: l})
+	return slog.New(handler).With("vm", string(identity.VM), "incarnation", uint64(identity.Incarnation))
+}
+
+// Start starts all plug-ins.
+func (a *App) Start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := a.fx.Start(ctx); err != nil {
+		a.log.Error("start_failed", "error", err.Error())
+		return err
+	}
+	a.log.Info("started", "failure_domain", string(a.Identity.Domain))
+	return nil
+}
+
+// Stop stops all plug-ins in the reverse order of their start. It is graceful within the stop timeout.
+func (a *App) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, a.stopTimeout)
+	defer cancel()
+	a.log.Info("stopping")
+	err := a.fx.Stop(ctx)
+	if err != nil {
+		a.log.Error("stop_incomplete", "error", err.Error())
+		return err
+	}
+	a.log.Info("stopped")
+	return nil
+}
+
+// Run starts the application, waits until ctx ends, and stops it.
+func (a *App) Run(ctx context.Context) error {
+	if err := a.Start(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return a.Stop(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/kernel/registry.go
@@ -0,0 +1,93 @@
+package kernel
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+
+	"go.uber.org/fx"
+)
+
+// Kind names a kind of plug-in, such as "front_end" or "hedging".
+type Kind string
+
+// Plugin describes one plug-in to the kernel.
+type Plugin struct {
+	Kind Kind
+	Name string
+	// Settings returns a pointer to the settings with their defaults, or nil when the plug-in has none.
+	Settings func() any
+	// Options turns the decoded settings into the fx options that provide the plug-in.
+	Options func(settings any) fx.Option
+}
+
+// Checker is implemented by settings that have rules beyond the validate tags. Check returns all problems; a path is
+// relative to the settings.
+type Checker interface {
+	Check() []Problem
+}
+
+// Registry holds the plug-ins that a program links. The zero value is ready to use.
+type Registry struct {
+	mu      sync.Mutex
+	plugins map[Kind]map[string]Plugin
+}
+
+// Add registers a plug-in. It panics on an incomplete or doubled registration, which is a fault of the program.
+func (r *Registry) Add(p Plugin) {
+	if p.Kind == "" || p.Name == "" || p.Options == nil {
+		panic(fmt.Sprintf("kernel: incomplete plug-in %q of kind %q", p.Name, p.Kind))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.plugins == nil {
+		r.plugins = make(map[Kind]map[string]Plugin)
+	}
+	if r.plugins[p.Kind] == nil {
+		r.plugins[p.Kind] = make(map[string]Plugin)
+	}
+	if _, exists := r.plugins[p.Kind][p.Name]; exists {
+		panic(fmt.Sprintf("kernel: plug-in %q of kind %q registered twice", p.Name, p.Kind))
+	}
+	r.plugins[p.Kind][p.Name] = p
+}
+
+// Find returns the plug-in of a kind with a name.
+func (r *Registry) Find(kind Kind, name string) (Plugin, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.plugins[kind][name]
+	return p, ok
+}
+
+// Names returns the names of all plug-ins of a kind in order.
+func (r *Registry) Names(kind Kind) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	names := make([]string, 0, len(r.plugins[kind]))
+	for name := range r.plugins[kind] {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Kinds returns all kinds that have a plug-in, in order.
+func (r *Registry) Kinds() []Kind {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kinds := make([]Kind, 0, len(r.plugins))
+	for kind := range r.plugins {
+		kinds = append(kinds, kind)
+	}
+	sort.Slice(kinds, func(i, j int) bool { return kinds[i] < kinds[j] })
+	return kinds
+}
+
+var linked Registry
+
+// Register adds a plug-in to the registry of the program. Plug-ins call it in init.
+func Register(p Plugin) { linked.Add(p) }
+
+// Linked returns the registry of the program.
+func Linked() *Registry { return &linked }
--- /dev/null
+++ b/kernel/state.go
@@ -0,0 +1,72 @@
+package kernel
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"gooseberrylane.example/core"
+)
+
+// State publishes the view that requests read. Readers load one atomic pointer; writers copy the view, change the copy
+// and swap the pointer, so a request that loaded a view finishes on it.
+type State struct {
+	view atomic.Pointer[core.View]
+	// writers orders updates; readers never take it.
+	writers sync.Mutex
+	changed atomic.Pointer[chan struct{}]
+}
+
+// NewState returns a state with an empty view that is not ready.
+func NewState() *State {
+	s := &State{}
+	s.view.Store(&core.View{
+		Config:    (&core.ConfigSet{}).Index(),
+		Members:   &core.Members{},
+		Ownership: &core.Ownership{},
+	})
+	first := make(chan struct{})
+	s.changed.Store(&first)
+	return s
+}
+
+// Load returns the current view. Do not change it.
+func (s *State) Load() *core.View { return s.view.Load() }
+
+// Update publishes a changed copy of the view. change gets a shallow copy and must replace, not modify, what the
+// pointers and maps of the view refer to.
+func (s *State) Update(change func(*core.View)) *core.View {
+	s.writers.Lock()
+	defer s.writers.Unlock()
+	next := *s.view.Load()
+	change(&next)
+	s.view.Store(&next)
+	again := make(chan struct{})
+	close(*s.changed.Swap(&again))
+	return &next
+}
+
+// Changed returns a channel that is closed at the next update. Take the channel before the view is loaded, so that no
+// update falls between the two.
+func (s *State) Changed() <-chan struct{} { return *s.changed.Load() }
+
+// SetConfig publishes a configuration set unless the current one is newer, and reports whether it did. The observed
+// states of upstreams that stay are kept.
+func (s *State) SetConfig(set *core.ConfigSet) bool {
+	applied := false
+	s.Update(func(v *core.View) {
+		if v.Config != nil && set.Revision < v.Config.Revision {
+			return
+		}
+		states := make(map[core.UpstreamID]*core.UpstreamState, len(set.Upstreams()))
+		for id := range set.Upstreams() {
+			if old := v.Upstreams[id]; old != nil {
+				states[id] = old
+			} else {
+				states[id] = &core.UpstreamState{}
+			}
+		}
+		v.Config, v.Upstreams = set, states
+		applied = true
+	})
+	return applied
+}
