--- /dev/null
+++ b/coord/query/plan.go
@@ -0,0 +1,65 @@
+package query
+
+import (
+	"time"
+
+	"gooseberrylane.example/core"
+)
+
+// Resolve checks a query against the configuration in force and returns its service with the shards at an index
+// version. The error is a *core.Error.
+func Resolve(view *core.View, q *core.Query, version core.IndexVersion) (*core.Service, []core.Shard, error) {
+	service := view.Config.Services[q.Service]
+	if service == nil {
+		return nil, nil, core.Errorf(core.CodeUnknownService, "service %q", q.Service)
+	}
+	layout := service.LayoutAt(version)
+	if layout == nil {
+		return nil, nil, core.Errorf(core.CodeVersionMissing, "service %q has no layout at index version %d", q.Service, version)
+	}
+	shards, err := wantedShards(layout, q.Shards)
+	if err != nil {
+		return nil, nil, err
+	}
+	if !q.Idempotent && len(shards) != 1 {
+		return nil, nil, core.Errorf(core.CodeBadWriteTarget, "%d shards", len(shards))
+	}
+	if limit := service.Rule.MaxShards; limit > 0 && len(shards) > limit {
+		return nil, nil, core.Errorf(core.CodeBadRequest, "%d shards, the rule allows %d", len(shards), limit)
+	}
+	return service, shards, nil
+}
+
+func wantedShards(layout *core.Layout, names []core.ShardName) ([]core.Shard, error) {
+	if len(names) == 0 {
+		return layout.Shards, nil
+	}
+	byName := make(map[core.ShardName]core.Shard, len(layout.Shards))
+	for _, shard := range layout.Shards {
+		byName[shard.Name] = shard
+	}
+	shards := make([]core.Shard, 0, len(names))
+	for _, name := range names {
+		shard, ok := byName[name]
+		if !ok {
+			return nil, core.Errorf(core.CodeUnknownShard, "shard %q", name)
+		}
+		delete(byName, name)
+		shards = append(shards, shard)
+	}
+	return shards, nil
+}
+
+// Deadline returns the deadline of a query that asked for timeout; 0 asks for the default. The error is a *core.Error.
+func Deadline(now time.Time, rule core.Rule, timeout time.Duration) (time.Time, error) {
+	if timeout < 0 {
+		return time.Time{}, core.Errorf(core.CodeBadDeadline, "negative timeout %v", timeout)
+	}
+	if timeout == 0 {
+		timeout = rule.DefaultDeadlineMS.Duration()
+	}
+	if limit := rule.MaxDeadlineMS.Duration(); limit > 0 && timeout > limit {
+		return time.Time{}, core.Errorf(core.CodeBadDeadline, "timeout %v, the limit is %v", timeout, limit)
+	}
+	return now.Add(timeout), nil
+}
--- /dev/null
+++ b/coord/query/policy.go
@@ -0,0 +1,52 @@
+package query
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gooseberrylane.example/core"
+)
+
+// Candidate is a replica that a selector may choose.
+type Candidate struct {
+	Upstream *core.Upstream
+	State    *core.UpstreamState
+	// Local is true when the replica is in the failure domain of this VM.
+	Local bool
+	// Tried is the number of attempts of this sub-request that went to the replica already.
+	Tried int
+}
+
+// Selector chooses a replica. Implementations are safe for concurrent use and do not block.
+type Selector interface {
+	// Select returns the index of the chosen candidate, or -1 when none may get work. Candidates are never empty.
+	Select(now time.Time, random *rand.Rand, candidates []Candidate) int
+}
+
+// Hedger decides on second requests. Implementations are safe for concurrent use and do not block.
+type Hedger interface {
+	// Delay returns how long to wait for a first result of a group before a second request, and whether hedging is on
+	// for the group.
+	Delay(service *core.Service, group core.GroupName) (time.Duration, bool)
+	// Allow spends one second request from the load budget, or reports that the budget is used up.
+	Allow(now time.Time, service *core.Service) bool
+	// ObserveLeg counts one first attempt towards the budget.
+	ObserveLeg(now time.Time, service *core.Service)
+	// ObserveLatency learns from a finished attempt.
+	ObserveLatency(service *core.Service, group core.GroupName, took time.Duration)
+}
+
+// Retrier decides on retries. Implementations are safe for concurrent use and do not block.
+type Retrier interface {
+	// Allow spends one retry from the budget and returns the delay before it, or false. attempt counts from 1.
+	Allow(now time.Time, random *rand.Rand, service *core.Service, attempt int) (time.Duration, bool)
+	// ObserveLeg counts one first attempt towards the budget.
+	ObserveLeg(now time.Time, service *core.Service)
+}
+
+// Policies are the exchangeable decisions of a machine.
+type Policies struct {
+	Selector Selector
+	Hedger   Hedger
+	Retrier  Retrier
+}
--- /dev/null
+++ b/coord/snapshot/choose.go
@@ -0,0 +1,58 @@
+// Package snapshot chooses the index version that an answer is pinned to.
+package snapshot
+
+import "gooseberrylane.example/core"
+
+// Choose returns the version to pin for groups whose replicas hold the given windows, or 0 when no window is known.
+// Windows that are not known are ignored.
+func Choose(rule core.VersionRule, groups [][]core.Window) core.IndexVersion {
+	if rule == core.VersionNewest {
+		return newest(groups)
+	}
+	return bestCovered(groups)
+}
+
+func newest(groups [][]core.Window) core.IndexVersion {
+	var version core.IndexVersion
+	for _, windows := range groups {
+		for _, w := range windows {
+			version = max(version, w.Newest)
+		}
+	}
+	return version
+}
+
+// bestCovered returns the highest of the versions that the most groups hold. Only the newest versions of windows need
+// to be tried: between two of them the set of windows that hold a version can only shrink as the version grows past an
+// upper end, and lower ends are passed before the next upper end is reached.
+func bestCovered(groups [][]core.Window) core.IndexVersion {
+	tried := make(map[core.IndexVersion]bool)
+	var best core.IndexVersion
+	bestCount := 0
+	for _, windows := range groups {
+		for _, w := range windows {
+			if w.Newest == 0 || tried[w.Newest] {
+				continue
+			}
+			tried[w.Newest] = true
+			count := covered(groups, w.Newest)
+			if count > bestCount || (count == bestCount && w.Newest > best) {
+				best, bestCount = w.Newest, count
+			}
+		}
+	}
+	return best
+}
+
+func covered(groups [][]core.Window, version core.IndexVersion) int {
+	count := 0
+	for _, windows := range groups {
+		for _, w := range windows {
+			if w.Holds(version) {
+				count++
+				break
+			}
+		}
+	}
+	return count
+}
--- a/kernel/source.go
+++ b/kernel/source.go
@@ -1,10 +1,8 @@
 package kernel
 
 import (
-	crand "crypto/rand"
-	"encoding/binary"
 	"math/rand/v2"
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,26 +17,21 @@
 // Now implements Clock.
 func (SystemClock) Now() time.Time { return time.Now() }
 
-// Random hands out independent random generators. It is safe for concurrent use.
+// Random hands out independent random generators. It is safe for concurrent use and takes no lock.
 type Random struct {
-	mu  sync.Mutex
-	src *rand.PCG
+	seed    uint64
+	counter atomic.Uint64
 }
 
 // NewRandom returns a source with a seed; seed 0 takes one from the operating system.
 func NewRandom(seed uint64) *Random {
 	if seed == 0 {
-		var b [8]byte
-		if _, err := crand.Read(b[:]); err == nil {
-			seed = binary.LittleEndian.Uint64(b[:])
-		}
+		seed = rand.Uint64()
 	}
-	return &Random{src: rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)}
+	return &Random{seed: seed}
 }
 
 // Generator returns a new generator for the use of one goroutine.
 func (r *Random) Generator() *rand.Rand {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return rand.New(rand.NewPCG(r.src.Uint64(), r.src.Uint64()))
+	return rand.New(rand.NewPCG(r.seed, r.counter.Add(1)))
 }
--- /dev/null
+++ b/plugins/engine/standard/engine.go
@@ -0,0 +1,188 @@
+// Package standard is the plug-in that runs queries: it drives the machine of coord/query with sub-requests and timers.
+package standard
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"gooseberrylane.example/coord/query"
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind: kinds.EngineKind, Name: "standard",
+		Settings: func() any {
+			return &Settings{MarginMS: defaultMarginMS, RecordTimeoutMS: defaultRecordTimeoutMS}
+		},
+		Options: func(s any) fx.Option {
+			return fx.Provide(func(p params) kinds.Engine { return &engine{params: p, settings: s.(*Settings)} })
+		},
+	})
+}
+
+const (
+	defaultMarginMS        = 5
+	defaultRecordTimeoutMS = 2000
+	// marginShare bounds the margin for queries with short deadlines, as a part of the time they have.
+	marginShare = 0.1
+	// probeShare bounds the time for learning index windows, as a part of the time a query has.
+	probeShare = 0.25
+)
+
+// Settings of the plug-in.
+type Settings struct {
+	// MarginMS is kept back before a query's deadline for returning the answer, in milliseconds. Default 5.
+	MarginMS int64 `json:"margin_ms" validate:"gte=0,lte=10000"`
+	// RecordTimeoutMS bounds the write of an outcome after the answer is known, in milliseconds. Default 2000.
+	RecordTimeoutMS int64 `json:"record_timeout_ms" validate:"gte=1,lte=60000"`
+}
+
+type params struct {
+	fx.In
+	State      *kernel.State
+	Identity   kernel.Identity
+	Clock      kernel.Clock
+	Random     *kernel.Random
+	Dispatcher kinds.Dispatcher
+	Admission  kinds.Admission
+	Records    kinds.Records
+	Selector   query.Selector
+	Hedger     query.Hedger
+	Retrier    query.Retrier
+}
+
+type engine struct {
+	params
+	settings *Settings
+	sequence atomic.Uint64
+}
+
+// Run implements kinds.Engine.
+func (e *engine) Run(ctx context.Context, q core.Query) core.Answer {
+	view := e.State.Load()
+	if !view.Ready {
+		return refuse(&q, core.Errorf(core.CodeNotReady, "no configuration is in force on this VM"), 0)
+	}
+	service := view.Config.Services[q.Service]
+	if service == nil {
+		return refuse(&q, core.Errorf(core.CodeUnknownService, "service %q", q.Service), 0)
+	}
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	leave, retryAfter, err := e.Admission.Enter(ctx, &q, service)
+	if err != nil {
+		return refuse(&q, err, retryAfter)
+	}
+	defer leave()
+	if q.Idempotent {
+		return e.runPinned(ctx, view, service, &q)
+	}
+	return e.runOnce(ctx, view, service, &q)
+}
+
+// refuse returns the answer to a query that did not run.
+func refuse(q *core.Query, err error, retryAfter time.Duration) core.Answer {
+	var coded *core.Error
+	if !errors.As(err, &coded) {
+		coded = core.Errorf(core.CodeInternal, "%v", err)
+	}
+	return core.Answer{Code: coded.Code, Detail: coded.Detail, RequestID: q.RequestID, RetryAfter: retryAfter}
+}
+
+// runPinned runs an idempotent query on one index version. If no shard was covered because the version was gone or not
+// there yet, it pins once more.
+func (e *engine) runPinned(ctx context.Context, view *core.View, service *core.Service, q *core.Query) core.Answer {
+	version := e.pin(ctx, view, service, q.Deadline)
+	answer := e.runAt(ctx, view, q, version)
+	if !wantsOtherVersion(&answer) {
+		return answer
+	}
+	if again := chooseVersion(view, service); again != version && e.Clock.Now().Before(q.Deadline) {
+		return e.runAt(ctx, view, q, again)
+	}
+	return answer
+}
+
+func wantsOtherVersion(answer *core.Answer) bool {
+	if len(answer.Covered) > 0 {
+		return false
+	}
+	for _, missing := range answer.Missing {
+		if missing.Reason == core.CodeVersionMissing {
+			return true
+		}
+	}
+	return false
+}
+
+// runOnce runs a non-idempotent query if its record allows it.
+func (e *engine) runOnce(ctx context.Context, view *core.View, service *core.Service, q *core.Query) core.Answer {
+	version := e.pin(ctx, view, service, q.Deadline)
+	if _, _, err := query.Resolve(view, q, version); err != nil {
+		return refuse(q, err, 0)
+	}
+	claim, known, err := e.Records.Begin(ctx, q)
+	if err != nil {
+		return refuse(q, err, 0)
+	}
+	if claim == nil {
+		return recorded(q, known)
+	}
+	answer := e.runAt(ctx, view, q, version)
+	outcome := outcomeOf(&answer)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(e.settings.RecordTimeoutMS)*time.Millisecond)
+	defer cancel()
+	// Without the written outcome a resend is answered with outcome_unknown, which is safe.
+	_ = claim.Finish(ctx, outcome, answer)
+	return answer
+}
+
+func outcomeOf(answer *core.Answer) core.Outcome {
+	switch {
+	case answer.Code == core.CodeOK || answer.Code == core.CodeUpstreamError:
+		return core.OutcomeRan
+	case answer.Code.IsNotRun():
+		return core.OutcomeNotRun
+	default:
+		return core.OutcomeUnknown
+	}
+}
+
+// recorded returns the answer to a resend.
+func recorded(q *core.Query, known kinds.Record) core.Answer {
+	switch {
+	case known.Finished && known.Answer != nil:
+		return *known.Answer
+	case known.Finished && known.Outcome == core.OutcomeRan:
+		return refuse(q, core.Errorf(core.CodeAlreadyRan, "the answer was not kept"), 0)
+	case known.Finished:
+		return refuse(q, core.Errorf(core.CodeOutcomeUnknown, "an earlier request with this ID has no known outcome"), 0)
+	default:
+		return refuse(q, core.Errorf(core.CodeInProgress, "a request with this ID is running"), 0)
+	}
+}
+
+// runAt runs a query on one index version to its answer.
+func (e *engine) runAt(ctx context.Context, view *core.View, q *core.Query, version core.IndexVersion) core.Answer {
+	service, shards, err := query.Resolve(view, q, version)
+	if err != nil {
+		return refuse(q, err, 0)
+	}
+	return newRun(e, view, service, shards, q, version).drive(ctx)
+}
+
+func (e *engine) nextAttempt() core.AttemptID {
+	return core.AttemptID{VM: e.Identity.VM, Incarnation: e.Identity.Incarnation, Sequence: e.sequence.Add(1)}
+}
+
+func (e *engine) margin(now, deadline time.Time) time.Duration {
+	share := time.Duration(float64(deadline.Sub(now)) * marginShare)
+	return min(time.Duration(e.settings.MarginMS)*time.Millisecond, max(share, 0))
+}
--- /dev/null
+++ b/plugins/executor/slots/slots.go
@@ -0,0 +1,223 @@
+// Package slots is the plug-in that runs sub-requests on the upstreams that this VM holds, within their slots and
+// connections.
+package slots
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind: kinds.ExecutorKind, Name: "slots",
+		Settings: func() any {
+			return &Settings{QueuePerSlot: defaultQueuePerSlot, ProbeIntervalMS: defaultProbeIntervalMS}
+		},
+		Options: func(s any) fx.Option {
+			return fx.Provide(func(lc fx.Lifecycle, p params) kinds.Executor { return newExecutor(lc, p, s.(*Settings)) })
+		},
+	})
+}
+
+const (
+	defaultQueuePerSlot    = 16
+	defaultProbeIntervalMS = 1000
+	// connectionShare is the part of an upstream's connection limit that one owner uses, so that connections of an
+	// earlier owner which the upstream has not dropped yet stay within the limit.
+	connectionShare = 0.5
+	// spareConnections serve cancellations and probes beside the requests in the slots.
+	spareConnections = 2
+	probeTimeout     = 500 * time.Millisecond
+)
+
+// Settings of the plug-in.
+type Settings struct {
+	// QueuePerSlot bounds the requests waiting for an upstream, per slot. Default 16.
+	QueuePerSlot int `json:"queue_per_slot" validate:"gte=0,lte=10000"`
+	// ProbeIntervalMS is the time between probes of the index window of a held upstream, in milliseconds. Default 1000.
+	ProbeIntervalMS int64 `json:"probe_interval_ms" validate:"gte=10,lte=60000"`
+}
+
+type params struct {
+	fx.In
+	State     *kernel.State
+	Transport kinds.Transport
+	Clock     kernel.Clock
+	Log       *slog.Logger
+}
+
+type executor struct {
+	params
+	settings *Settings
+	// targets is replaced as a whole; requests load it without a lock.
+	targets atomic.Pointer[map[core.UpstreamID]*target]
+	writers sync.Mutex
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func newExecutor(lc fx.Lifecycle, p params, settings *Settings) *executor {
+	e := &executor{params: p, settings: settings}
+	e.targets.Store(&map[core.UpstreamID]*target{})
+	lc.Append(fx.Hook{OnStart: e.start, OnStop: e.shutdown})
+	return e
+}
+
+func (e *executor) start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	e.done.Go(func() { e.follow(ctx) })
+	return nil
+}
+
+func (e *executor) shutdown(context.Context) error {
+	e.stop()
+	e.done.Wait()
+	for _, t := range *e.targets.Load() {
+		t.pool.Close()
+	}
+	return nil
+}
+
+// follow opens a target for each upstream that the view says this VM holds.
+func (e *executor) follow(ctx context.Context) {
+	probe := time.NewTicker(time.Duration(e.settings.ProbeIntervalMS) * time.Millisecond)
+	defer probe.Stop()
+	for {
+		changed := e.State.Changed()
+		e.reconcile(ctx)
+		select {
+		case <-changed:
+		case <-probe.C:
+			e.probeAll(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *executor) reconcile(ctx context.Context) {
+	view := e.State.Load()
+	e.writers.Lock()
+	defer e.writers.Unlock()
+	current := *e.targets.Load()
+	next := make(map[core.UpstreamID]*target, len(view.Ownership.Held))
+	changed := false
+	for id := range view.Ownership.Held {
+		upstream := view.Config.Upstream(id)
+		if upstream == nil {
+			continue
+		}
+		if t := current[id]; t != nil && t.upstream.Address == upstream.Address && t.upstream.Slots == upstream.Slots && t.upstream.Connections == upstream.Connections {
+			next[id] = t
+			continue
+		}
+		t := e.open(*upstream)
+		next[id] = t
+		changed = true
+		e.done.Go(func() { e.warm(ctx, t) })
+	}
+	if !changed && len(next) == len(current) {
+		return
+	}
+	e.targets.Store(&next)
+	for id, t := range current {
+		if next[id] != t {
+			e.done.Go(func() { t.release(ctx) })
+		}
+	}
+}
+
+func (e *executor) open(upstream core.Upstream) *target {
+	limit := max(int(float64(upstream.Connections)*connectionShare), 1)
+	return newTarget(upstream, e.Transport.Open(upstream, limit), e.settings.QueuePerSlot)
+}
+
+// warm opens connections ahead of need and learns the index window.
+func (e *executor) warm(ctx context.Context, t *target) {
+	t.pool.Warm(ctx, min(t.upstream.Slots+spareConnections, t.upstream.Connections))
+	e.probe(ctx, t)
+}
+
+func (e *executor) probeAll(ctx context.Context) {
+	for _, t := range *e.targets.Load() {
+		e.done.Go(func() { e.probe(ctx, t) })
+	}
+}
+
+func (e *executor) probe(ctx context.Context, t *target) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	result, err := t.pool.Probe(ctx)
+	if err != nil {
+		return
+	}
+	if state := e.State.Load().State(t.upstream.ID); state != nil {
+		state.SetWindow(result.Window)
+	}
+}
+
+// Execute implements kinds.Executor.
+func (e *executor) Execute(ctx context.Context, leg core.Leg) core.LegResult {
+	t := (*e.targets.Load())[leg.Upstream]
+	if t == nil {
+		return e.notOwner(leg)
+	}
+	if leg.Version == 0 {
+		return e.describe(ctx, t, leg)
+	}
+	result := t.execute(ctx, e.Clock, leg)
+	if state := e.State.Load().State(leg.Upstream); state != nil {
+		state.SetWindow(result.Window)
+	}
+	return result
+}
+
+func (e *executor) notOwner(leg core.Leg) core.LegResult {
+	view := e.State.Load()
+	return core.LegResult{
+		Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeNotOwner, Owner: view.Ownership.Owner[leg.Upstream],
+	}
+}
+
+// describe answers a leg without a version with the window of index versions and runs nothing. It probes the upstream
+// if nothing is known yet.
+func (e *executor) describe(ctx context.Context, t *target, leg core.Leg) core.LegResult {
+	result := core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeVersionMissing}
+	state := e.State.Load().State(leg.Upstream)
+	if state == nil {
+		return result
+	}
+	if state.Window().Newest == 0 {
+		e.probe(ctx, t)
+	}
+	result.Window = state.Window()
+	return result
+}
+
+// Release implements kinds.Executor.
+func (e *executor) Release(ctx context.Context, id core.UpstreamID) error {
+	e.writers.Lock()
+	current := *e.targets.Load()
+	t := current[id]
+	if t != nil {
+		next := maps.Clone(current)
+		delete(next, id)
+		e.targets.Store(&next)
+	}
+	e.writers.Unlock()
+	if t == nil {
+		return nil
+	}
+	return t.release(ctx)
+}
--- /dev/null
+++ b/plugins/metrics/expvar/expvar.go
@@ -0,0 +1,89 @@
+// Package expvar is the plug-in that serves metrics by expvar on a listener of its own.
+package expvar
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/fx"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind: kinds.MetricsKind, Name: "expvar",
+		Settings: func() any { return &Settings{} },
+		Options: func(s any) fx.Option {
+			return fx.Invoke(func(lc fx.Lifecycle, p params) { serve(lc, p, s.(*Settings)) })
+		},
+	})
+}
+
+// Settings of the plug-in.
+type Settings struct {
+	// Listen is the address of GET /debug/vars. Required.
+	Listen string `json:"listen" validate:"required,hostname_port"`
+}
+
+const headerTimeout = 5 * time.Second
+
+type params struct {
+	fx.In
+	State *kernel.State
+	Log   *slog.Logger
+}
+
+func serve(lc fx.Lifecycle, p params, settings *Settings) {
+	mux := http.NewServeMux()
+	vars := viewVars(p.State)
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// A caller that goes away while it reads the metrics is not an error.
+		_, _ = w.Write([]byte(vars.String()))
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	lc.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", settings.Listen)
+			if err != nil {
+				return err
+			}
+			go func() {
+				if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+					p.Log.Error("metrics_listener_failed", "error", err.Error())
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error { return server.Close() },
+	})
+}
+
+// viewVars returns the variables of one application. They are not published globally, because one process may run
+// several applications.
+func viewVars(state *kernel.State) *expvar.Map {
+	vars := new(expvar.Map)
+	vars.Set("config_revision", expvar.Func(func() any { return state.Load().Config.Revision }))
+	vars.Set("members", expvar.Func(func() any { return len(state.Load().Members.All) }))
+	vars.Set("upstreams_held", expvar.Func(func() any { return len(state.Load().Ownership.Held) }))
+	vars.Set("legs_sent", expvar.Func(func() any { return sum(state, func(s *core.UpstreamState) uint64 { return s.Sent.Load() }) }))
+	vars.Set("legs_failed", expvar.Func(func() any { return sum(state, func(s *core.UpstreamState) uint64 { return s.Failed.Load() }) }))
+	vars.Set("legs_shed", expvar.Func(func() any { return sum(state, func(s *core.UpstreamState) uint64 { return s.Shed.Load() }) }))
+	return vars
+}
+
+func sum(state *kernel.State, value func(*core.UpstreamState) uint64) uint64 {
+	var total uint64
+	for _, s := range state.Load().Upstreams {
+		total += value(s)
+	}
+	return total
+}
--- /dev/null
+++ b/plugins/peer/websocket/codec.go
@@ -0,0 +1,79 @@
+package websocket
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+// Bounds for decoding frames of other VMs.
+const (
+	maxNesting  = 16
+	maxElements = 131_072
+)
+
+// hello is the first message on a link.
+type hello struct {
+	Name        core.VMName
+	Incarnation core.Incarnation
+	Domain      core.FailureDomain
+	PeerAddress string
+}
+
+// MessageName implements kinds.Message.
+func (hello) MessageName() string { return "hello" }
+
+// envelope frames one message; a frame is a sequence of envelopes.
+type envelope struct {
+	_    struct{} `cbor:",toarray"`
+	Name string
+	Body cbor.RawMessage
+}
+
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxNestedLevels: maxNesting, MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func encodeMessage(m kinds.Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(envelope{Name: m.MessageName(), Body: body})
+}
+
+// decodeFrame calls handle for each message of a frame. Messages of unknown names are skipped, so that VMs of
+// different releases can talk.
+func (ps *peers) decodeFrame(frame []byte, handle func(h handler, m kinds.Message)) error {
+	decoder := decoding.NewDecoder(bytes.NewReader(frame))
+	for {
+		var e envelope
+		if err := decoder.Decode(&e); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		h, ok := ps.handlers[e.Name]
+		if !ok {
+			continue
+		}
+		value := reflect.New(h.prototype)
+		if err := decoding.Unmarshal(e.Body, value.Interface()); err != nil {
+			return err
+		}
+		handle(h, value.Interface().(kinds.Message))
+	}
+}
--- /dev/null
+++ b/plugins/transport/http/pool.go
@@ -0,0 +1,142 @@
+package http
+
+import (
+	"context"
+	"sync/atomic"
+
+	"gooseberrylane.example/core"
+)
+
+// pool holds the connections to one upstream. Free connections form a lock-free stack: the most recently used one is
+// taken first, so surplus connections fall idle.
+type pool struct {
+	upstream core.Upstream
+	settings *Settings
+	limit    int64
+	open     atomic.Int64
+	free     stack
+	closed   atomic.Bool
+	// returned wakes one waiter when a connection is freed or closed.
+	returned chan struct{}
+}
+
+type node struct {
+	conn *conn
+	next *node
+}
+
+// stack is a lock-free stack. Each push allocates a node, so the garbage collector rules out the ABA problem.
+type stack struct{ head atomic.Pointer[node] }
+
+func (s *stack) push(c *conn) {
+	n := &node{conn: c}
+	for {
+		n.next = s.head.Load()
+		if s.head.CompareAndSwap(n.next, n) {
+			return
+		}
+	}
+}
+
+func (s *stack) pop() *conn {
+	for {
+		n := s.head.Load()
+		if n == nil {
+			return nil
+		}
+		if s.head.CompareAndSwap(n, n.next) {
+			return n.conn
+		}
+	}
+}
+
+func newPool(upstream core.Upstream, limit int, settings *Settings) *pool {
+	return &pool{upstream: upstream, settings: settings, limit: int64(limit), returned: make(chan struct{}, 1)}
+}
+
+// acquire returns a free connection, or a new one if the limit allows, or waits for one until ctx ends.
+func (p *pool) acquire(ctx context.Context) (*conn, error) {
+	for {
+		if c := p.free.pop(); c != nil {
+			return c, nil
+		}
+		if p.reserve() {
+			return newConn(p.upstream.Address, p.settings), nil
+		}
+		select {
+		case <-p.returned:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// reserve counts one more connection unless the limit is reached.
+func (p *pool) reserve() bool {
+	for {
+		n := p.open.Load()
+		if n >= p.limit {
+			return false
+		}
+		if p.open.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+func (p *pool) release(c *conn) {
+	if p.closed.Load() || c.broken.Load() {
+		p.discard(c)
+		return
+	}
+	p.free.push(c)
+	p.wake()
+}
+
+func (p *pool) discard(c *conn) {
+	c.close()
+	p.open.Add(-1)
+	p.wake()
+}
+
+func (p *pool) wake() {
+	select {
+	case p.returned <- struct{}{}:
+	default:
+	}
+}
+
+// Warm implements kinds.Pool.
+func (p *pool) Warm(ctx context.Context, n int) {
+	for p.open.Load() < int64(n) && p.reserve() {
+		c := newConn(p.upstream.Address, p.settings)
+		if _, err := c.health(ctx); err != nil {
+			p.discard(c)
+			return
+		}
+		p.release(c)
+	}
+}
+
+// CloseIdle implements kinds.Pool.
+func (p *pool) CloseIdle() {
+	for c := p.free.pop(); c != nil; c = p.free.pop() {
+		p.discard(c)
+	}
+}
+
+// Close implements kinds.Pool.
+func (p *pool) Close() {
+	p.closed.Store(true)
+	p.CloseIdle()
+}
+
+// Probe implements kinds.Pool.
+func (p *pool) Probe(ctx context.Context) (core.LegResult, error) {
+	c, err := p.acquire(ctx)
+	if err != nil {
+		return core.LegResult{}, err
+	}
+	defer p.release(c)
+	return c.health(ctx)
+}
--- /dev/null
+++ b/standins/platform/platform.go
@@ -0,0 +1,182 @@
+// Package platform is a stand-in for the platform's object API: objects with versions, conditional updates and
+// watches, and a list of VMs that lags, with faults that tests switch on.
+package platform
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults are the faults that are switched on. The zero value is a healthy platform.
+type Faults struct {
+	// Down closes each connection without an answer.
+	Down bool `json:"down"`
+	// ErrorShare of the calls fail with 503 before they take effect.
+	ErrorShare float64 `json:"error_share"`
+	// LostAnswerShare of the writes take effect and then lose their answer.
+	LostAnswerShare float64 `json:"lost_answer_share"`
+	// DelayMS delays each call, in milliseconds.
+	DelayMS int64 `json:"delay_ms"`
+	// StaleShare of the reads return the object as it was before its last change.
+	StaleShare float64 `json:"stale_share"`
+}
+
+// Counts is what the platform saw. A watch counts as one call while it waits.
+type Counts struct {
+	Reads   uint64 `json:"reads"`
+	Writes  uint64 `json:"writes"`
+	Lists   uint64 `json:"lists"`
+	Watches uint64 `json:"watches"`
+	VMLists uint64 `json:"vm_lists"`
+	Refused uint64 `json:"refused"`
+	Waiting int64  `json:"waiting"`
+}
+
+// Total returns the number of calls.
+func (c Counts) Total() uint64 {
+	return c.Reads + c.Writes + c.Lists + c.Watches + c.VMLists + c.Refused
+}
+
+// VM is one entry of the VM list.
+type VM struct {
+	Name        string `json:"name"`
+	Domain      string `json:"domain"`
+	PeerAddress string `json:"peer_address"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// MaxValueBytes is the largest value of an object.
+const MaxValueBytes = 1 << 20
+
+type object struct {
+	value    []byte
+	version  uint64
+	previous *object
+}
+
+// Server is the stand-in. Create it with New and begin with Start.
+type Server struct {
+	listen string
+	server *http.Server
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	objects map[string]*object
+	version uint64
+	changed chan struct{}
+	vms     []VM
+	faults  Faults
+	counts  Counts
+}
+
+// New returns a platform that listens on an address once started.
+func New(listen string, seed uint64) *Server {
+	return &Server{
+		listen: listen, random: rand.New(rand.NewPCG(seed, 2)), objects: make(map[string]*object), changed: make(chan struct{}),
+	}
+}
+
+// Start listens and serves in the background.
+func (s *Server) Start() error {
+	listener, err := net.Listen("tcp", s.listen)
+	if err != nil {
+		return err
+	}
+	s.listen = listener.Addr().String()
+	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			panic(err)
+		}
+	}()
+	return nil
+}
+
+// Stop closes the listener and all connections.
+func (s *Server) Stop() error { return s.server.Close() }
+
+// Address returns the address that the platform listens on.
+func (s *Server) Address() string { return s.listen }
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.notify()
+}
+
+// SetVMs replaces the VM list.
+func (s *Server) SetVMs(vms []VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = append([]VM(nil), vms...)
+}
+
+// Counts returns what the platform saw so far.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Keys returns the keys with a prefix in order.
+func (s *Server) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keysAfter(prefix, "")
+}
+
+func (s *Server) keysAfter(prefix, after string) []string {
+	var keys []string
+	for key := range s.objects {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// put writes an object if the condition holds. ifVersion 0 means that the object must not exist.
+func (s *Server) put(key string, value []byte, ifVersion uint64, conditional bool) (uint64, bool) {
+	old := s.objects[key]
+	var oldVersion uint64
+	if old != nil {
+		oldVersion = old.version
+	}
+	if conditional && oldVersion != ifVersion {
+		return 0, false
+	}
+	s.version++
+	if old != nil {
+		old.previous = nil
+	}
+	s.objects[key] = &object{value: value, version: s.version, previous: old}
+	s.notify()
+	return s.version, true
+}
+
+func (s *Server) remove(key string, ifVersion uint64) (found, ok bool) {
+	old := s.objects[key]
+	if old == nil {
+		return false, false
+	}
+	if ifVersion != 0 && old.version != ifVersion {
+		return true, false
+	}
+	delete(s.objects, key)
+	s.notify()
+	return true, true
+}
+
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/standins/upstream/handlers.go
@@ -0,0 +1,206 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const maxPayload = 1 << 20
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/execute", s.execute)
+	mux.HandleFunc("DELETE /v1/execute/{attempt}", s.cancel)
+	mux.HandleFunc("GET /v1/health", s.health)
+	mux.HandleFunc("GET /v1/load", s.load)
+	return mux
+}
+
+// Data is the body of a successful answer. Count depends on the shard and the index version only, so that a test can
+// check it.
+type Data struct {
+	Shard   string `json:"shard"`
+	Version uint64 `json:"version"`
+	Count   int    `json:"count"`
+}
+
+// CountOf returns the count that every replica of a shard reports at an index version.
+func CountOf(shard string, version uint64) int {
+	h := fnv.New32a()
+	fmt.Fprintf(h, "%s/%d", shard, version)
+	return int(h.Sum32()%1000) + 1
+}
+
+type request struct {
+	id, attempt, shard string
+	idempotent         bool
+	version            uint64
+	deadline           time.Time
+}
+
+func readRequest(r *http.Request) request {
+	version, _ := strconv.ParseUint(r.Header.Get("X-Index-Version"), 10, 64)
+	deadline, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Us"), 10, 64)
+	return request{
+		id: r.Header.Get("X-Request-Id"), attempt: r.Header.Get("X-Attempt"), shard: r.Header.Get("X-Shard"),
+		idempotent: r.Header.Get("X-Idempotent") != "0", version: version, deadline: time.UnixMicro(deadline),
+	}
+}
+
+func (s *Server) execute(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxPayload)); err != nil {
+		http.Error(w, "body", http.StatusBadRequest)
+		return
+	}
+	req := readRequest(r)
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+	defer cancel()
+	took, refusal, failing := s.begin(&req, cancel)
+	s.describe(w.Header(), false)
+	if refusal != "" {
+		refuse(w, refusal)
+		return
+	}
+	defer s.end(req.attempt)
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		s.count(func(c *Counts) { c.Cancelled++ })
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	s.count(func(c *Counts) { c.Finished++ })
+	if failing {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("X-Index-Version", strconv.FormatUint(req.version, 10))
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Data{Shard: req.shard, Version: req.version, Count: CountOf(req.shard, req.version)})
+}
+
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set("X-Refused", reason)
+	w.WriteHeader(http.StatusConflict)
+}
+
+// begin decides whether the request runs, and how long it takes.
+func (s *Server) begin(req *request, cancel context.CancelFunc) (took time.Duration, refusal string, failing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Received++
+	if refusal = s.refusal(req); refusal != "" {
+		return 0, refusal, false
+	}
+	s.counts.Begun++
+	s.counts.Running++
+	s.counts.PeakRunning = max(s.counts.PeakRunning, s.counts.Running)
+	s.running[req.attempt] = cancel
+	if !req.idempotent {
+		s.counts.NonIdempotentRun++
+		s.writes[req.id]++
+		if s.writes[req.id] > 1 {
+			s.counts.DoubledRequests++
+		}
+	}
+	return s.serviceTime(), "", s.random.Float64() < s.faults.ErrorShare
+}
+
+func (s *Server) refusal(req *request) string {
+	switch {
+	case !time.Now().Before(req.deadline):
+		s.counts.Expired++
+		return "expired"
+	case s.faults.Draining:
+		s.counts.RefusedDraining++
+		if time.Since(s.draining) > drainGrace {
+			s.counts.LateAfterDrain++
+		}
+		return "draining"
+	case req.version < s.oldest || req.version > s.newest:
+		s.counts.VersionMissing++
+		return "version_missing"
+	case s.cfg.Slots > 0 && s.counts.Running >= int64(s.cfg.Slots):
+		s.counts.OverSlots++
+		s.counts.Shed++
+		return "shed"
+	case s.random.Float64() < s.faults.ShedShare:
+		s.counts.Shed++
+		return "shed"
+	default:
+		return ""
+	}
+}
+
+// serviceTime draws a time around the mean: three quarters of it fixed, the rest exponential.
+func (s *Server) serviceTime() time.Duration {
+	mean := float64(time.Duration(s.cfg.ServiceUS) * time.Microsecond)
+	took := mean * (0.75 + 0.25*s.random.ExpFloat64())
+	if s.random.Float64() < s.faults.StragglerShare {
+		took *= s.faults.StragglerFactor
+	}
+	if cold := time.Duration(s.faults.ColdMS) * time.Millisecond; cold > 0 && time.Since(s.changed) < cold {
+		took *= s.faults.ColdFactor
+	}
+	return time.Duration(took)
+}
+
+func (s *Server) end(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Running--
+	delete(s.running, attempt)
+}
+
+func (s *Server) count(add func(*Counts)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	add(&s.counts)
+}
+
+// describe sets the headers that tell the held versions and whether the upstream is leaving.
+func (s *Server) describe(h http.Header, hint bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.Set("X-Window-Oldest", strconv.FormatUint(s.oldest, 10))
+	h.Set("X-Window-Newest", strconv.FormatUint(s.newest, 10))
+	if s.faults.Draining && !(hint && s.faults.HealthLies) {
+		h.Set("X-Draining", "1")
+	}
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	cancel := s.running[r.PathValue("attempt")]
+	s.mu.Unlock()
+	if cancel == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	cancel()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	s.describe(w.Header(), true)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	running, lies := s.counts.Running, s.faults.HealthLies
+	s.mu.Unlock()
+	if lies {
+		running = 0
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]int64{"running": running, "slots": int64(s.cfg.Slots)})
+}
--- /dev/null
+++ b/standins/upstream/upstream.go
@@ -0,0 +1,238 @@
+// Package upstream is a stand-in for the upstreams of a deployment: shards with slots, connection limits, a cost to
+// open a connection, index versions, load shedding, draining, cancellation, deadlines and faults that tests switch on.
+package upstream
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Config describes one upstream.
+type Config struct {
+	ID          string `json:"id"`
+	Listen      string `json:"listen"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	// OpenCostMS is the time until a new connection is served, in milliseconds.
+	OpenCostMS int64 `json:"open_cost_ms"`
+	// ServiceUS is the mean time of one request, in microseconds.
+	ServiceUS int64  `json:"service_us"`
+	Seed      uint64 `json:"seed"`
+	// Oldest and Newest bound the index versions held at the start.
+	Oldest uint64 `json:"oldest"`
+	Newest uint64 `json:"newest"`
+}
+
+// Faults are the faults that are switched on. The zero value is a healthy upstream.
+type Faults struct {
+	// StragglerShare of the requests take StragglerFactor times longer.
+	StragglerShare  float64 `json:"straggler_share"`
+	StragglerFactor float64 `json:"straggler_factor"`
+	// ShedShare of the requests are refused because of load.
+	ShedShare float64 `json:"shed_share"`
+	// ErrorShare of the requests run and end with an error.
+	ErrorShare float64 `json:"error_share"`
+	// Draining refuses new work and says so in every answer.
+	Draining bool `json:"draining"`
+	// ColdMS is how long requests after the switch take ColdFactor times longer, in milliseconds.
+	ColdMS     int64   `json:"cold_ms"`
+	ColdFactor float64 `json:"cold_factor"`
+	// HealthLies makes the health and load endpoints report a healthy, idle upstream whatever happens.
+	HealthLies bool `json:"health_lies"`
+}
+
+// Counts is what an upstream saw.
+type Counts struct {
+	Connections      int64  `json:"connections"`
+	PeakConnections  int64  `json:"peak_connections"`
+	OverConnections  uint64 `json:"over_connections"`
+	Running          int64  `json:"running"`
+	PeakRunning      int64  `json:"peak_running"`
+	OverSlots        uint64 `json:"over_slots"`
+	Received         uint64 `json:"received"`
+	Begun            uint64 `json:"begun"`
+	Finished         uint64 `json:"finished"`
+	Cancelled        uint64 `json:"cancelled"`
+	Shed             uint64 `json:"shed"`
+	Expired          uint64 `json:"expired"`
+	VersionMissing   uint64 `json:"version_missing"`
+	RefusedDraining  uint64 `json:"refused_draining"`
+	LateAfterDrain   uint64 `json:"late_after_drain"`
+	DoubledRequests  uint64 `json:"doubled_requests"`
+	NonIdempotentRun uint64 `json:"non_idempotent_run"`
+}
+
+// drainGrace is how long after draining began new work is still expected.
+const drainGrace = 3 * time.Second
+
+// Server is one upstream. Create it with New and begin with Start.
+type Server struct {
+	cfg      Config
+	listener net.Listener
+	server   *http.Server
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	changed  time.Time
+	draining time.Time
+	oldest   uint64
+	newest   uint64
+	running  map[string]context.CancelFunc
+	writes   map[string]int
+	counts   Counts
+	conns    map[net.Conn]struct{}
+	silent   map[net.Conn]struct{}
+	down     atomic.Bool
+}
+
+// New returns an upstream that is not started.
+func New(cfg Config) *Server {
+	if cfg.Newest == 0 {
+		cfg.Oldest, cfg.Newest = 1, 1
+	}
+	return &Server{
+		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1)), oldest: cfg.Oldest, newest: cfg.Newest, changed: time.Now(),
+		running: make(map[string]context.CancelFunc), writes: make(map[string]int),
+		conns: make(map[net.Conn]struct{}), silent: make(map[net.Conn]struct{}),
+	}
+}
+
+// Start listens and serves in the background.
+func (s *Server) Start() error {
+	listener, err := net.Listen("tcp", s.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	s.listener = listener
+	s.cfg.Listen = listener.Addr().String()
+	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 10 * time.Second, ConnState: s.track}
+	server := s.server
+	go func() {
+		if err := server.Serve(&costlyListener{Listener: listener, server: s}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			panic(err)
+		}
+	}()
+	return nil
+}
+
+// Address returns the address that the upstream listens on.
+func (s *Server) Address() string { return s.cfg.Listen }
+
+// ID returns the name of the upstream.
+func (s *Server) ID() string { return s.cfg.ID }
+
+// Kill closes the listener and all connections at once, as the loss of the replica does.
+func (s *Server) Kill() error {
+	s.down.Store(true)
+	return s.server.Close()
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Draining && !s.faults.Draining {
+		s.draining = time.Now()
+	}
+	s.faults, s.changed = f, time.Now()
+}
+
+// Publish changes the index versions held.
+func (s *Server) Publish(oldest, newest uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest, s.newest = oldest, newest
+}
+
+// Silence makes all connections that are open now carry nothing from now on. New connections work.
+func (s *Server) Silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		s.silent[c] = struct{}{}
+	}
+}
+
+// Counts returns what the upstream saw so far.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func (s *Server) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[c] = struct{}{}
+		s.counts.Connections++
+		s.counts.PeakConnections = max(s.counts.PeakConnections, s.counts.Connections)
+		if s.cfg.Connections > 0 && s.counts.Connections > int64(s.cfg.Connections) {
+			s.counts.OverConnections++
+		}
+	case http.StateClosed, http.StateHijacked:
+		if _, ok := s.conns[c]; ok {
+			delete(s.conns, c)
+			delete(s.silent, c)
+			s.counts.Connections--
+		}
+	}
+}
+
+func (s *Server) isSilent(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.silent[c]
+	return ok
+}
+
+// costlyListener delays each new connection by the opening cost.
+type costlyListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *costlyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &upstreamConn{Conn: c, server: l.server, ready: time.Now().Add(time.Duration(l.server.cfg.OpenCostMS) * time.Millisecond)}, nil
+}
+
+// upstreamConn is served after the opening cost and can be silenced.
+type upstreamConn struct {
+	net.Conn
+	server *Server
+	ready  time.Time
+}
+
+// Read implements net.Conn. Bytes that arrive on a silenced connection are swallowed.
+func (c *upstreamConn) Read(p []byte) (int, error) {
+	if wait := time.Until(c.ready); wait > 0 {
+		time.Sleep(wait)
+	}
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.server.isSilent(c) {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn. Bytes for a silenced connection are lost.
+func (c *upstreamConn) Write(p []byte) (int, error) {
+	if c.server.isSilent(c) {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/test/imports/imports_test.go
@@ -0,0 +1,48 @@
+// Package imports checks the import rules of the design page.
+package imports
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const module = "gooseberrylane.example"
+
+// dependencies returns all packages that the packages of a pattern depend on, test files left out.
+func dependencies(c *qt.C, pattern string) []string {
+	cmd := exec.Command("go", "list", "-deps", pattern)
+	cmd.Dir = "../.."
+	out, err := cmd.Output()
+	c.Assert(err, qt.IsNil)
+	return strings.Fields(string(out))
+}
+
+// TestDecisionsImportNoTransportOrCodec guards against decisions that can be driven by one front end only.
+func TestDecisionsImportNoTransportOrCodec(t *testing.T) {
+	c := qt.New(t)
+	banned := []string{"net/http", "net", "encoding/json", "github.com/fxamacker/cbor", "github.com/coder/websocket", "github.com/gin-gonic/gin", module + "/kernel", module + "/plugins"}
+	for _, dependency := range dependencies(c, "./coord/...") {
+		for _, prefix := range banned {
+			c.Check(dependency == prefix || strings.HasPrefix(dependency, prefix+"/"), qt.IsFalse, qt.Commentf("coord depends on %s", dependency))
+		}
+	}
+}
+
+// TestKernelImportsNoPlugin guards against a kernel that must change when a plug-in is added.
+func TestKernelImportsNoPlugin(t *testing.T) {
+	c := qt.New(t)
+	for _, dependency := range dependencies(c, "./kernel/...") {
+		c.Check(strings.HasPrefix(dependency, module+"/plugins"), qt.IsFalse, qt.Commentf("kernel depends on %s", dependency))
+	}
+}
+
+// TestCoreImportsNothingOfOurs guards against cycles of meaning between the value types and the parts that use them.
+func TestCoreImportsNothingOfOurs(t *testing.T) {
+	c := qt.New(t)
+	for _, dependency := range dependencies(c, "./core/...") {
+		c.Check(strings.HasPrefix(dependency, module+"/") && dependency != module+"/core", qt.IsFalse, qt.Commentf("core depends on %s", dependency))
+	}
+}
