--- /dev/null
+++ b/plugins/platform/http/calls.go
@@ -0,0 +1,170 @@
+package http
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+// maxAnswerBytes bounds an answer of the platform: a list holds many values of up to 1 MB.
+const maxAnswerBytes = 64 << 20
+
+// call is one HTTP call to the platform.
+type call struct {
+	method, path string
+	body         []byte
+	header       http.Header
+	// wait is added to the time limit of the call.
+	wait time.Duration
+}
+
+// do makes a call. The error is a *core.Error; for a write it tells whether the write may have taken effect.
+func (c *client) do(ctx context.Context, k call) ([]byte, uint64, error) {
+	if !c.allow() {
+		return nil, 0, core.Errorf(core.CodePlatformUnavailable, "too many calls failed in a row")
+	}
+	limited, cancel := context.WithTimeout(ctx, c.timeout+k.wait)
+	defer cancel()
+	request, err := http.NewRequestWithContext(limited, k.method, c.base+k.path, bytes.NewReader(k.body))
+	if err != nil {
+		c.report(true)
+		return nil, 0, core.Errorf(core.CodeBadRequest, "%v", err)
+	}
+	// GetBody would let the client send a write a second time by itself.
+	request.GetBody = nil
+	for name, values := range k.header {
+		request.Header[name] = values
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		// A caller that gave up tells nothing about the platform.
+		c.report(ctx.Err() != nil)
+		return nil, 0, callError(k.method, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	c.report(err == nil && response.StatusCode < http.StatusInternalServerError)
+	if err != nil {
+		return nil, 0, callError(k.method, err)
+	}
+	version, _ := strconv.ParseUint(strings.Trim(response.Header.Get("ETag"), `"`), 10, 64)
+	return body, version, statusError(response.StatusCode)
+}
+
+// callError tells what a call without an answer proves: a write whose connection could not be opened had no effect.
+func callError(method string, err error) error {
+	var op *net.OpError
+	dialFailed := errors.As(err, &op) && op.Op == "dial"
+	if method == http.MethodGet || dialFailed {
+		return core.Errorf(core.CodePlatformUnavailable, "%v", err)
+	}
+	return core.Errorf(core.CodeNotKnownYet, "%v", err)
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK, http.StatusNoContent:
+		return nil
+	case http.StatusNotFound:
+		return core.Errorf(core.CodeNotFound, "no such object")
+	case http.StatusPreconditionFailed:
+		return core.Errorf(core.CodeConflict, "the object changed or exists")
+	case http.StatusRequestEntityTooLarge:
+		return core.Errorf(core.CodeBodyTooLarge, "the value is too large")
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return core.Errorf(core.CodePlatformUnavailable, "the platform refused the call with status %d", status)
+	default:
+		return core.Errorf(core.CodeNotKnownYet, "the platform answered with status %d", status)
+	}
+}
+
+func objectPath(key string) string { return "/v1/objects/" + (&url.URL{Path: key}).EscapedPath() }
+
+// Get implements kinds.Platform.
+func (c *client) Get(ctx context.Context, key string) (kinds.Object, error) {
+	value, version, err := c.do(ctx, call{method: http.MethodGet, path: objectPath(key)})
+	return kinds.Object{Key: key, Value: value, Version: version}, err
+}
+
+// Create implements kinds.Platform.
+func (c *client) Create(ctx context.Context, key string, value []byte) (uint64, error) {
+	_, version, err := c.do(ctx, call{
+		method: http.MethodPut, path: objectPath(key), body: value, header: http.Header{"If-None-Match": {"*"}},
+	})
+	return version, err
+}
+
+// Update implements kinds.Platform.
+func (c *client) Update(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	_, version, err := c.do(ctx, call{method: http.MethodPut, path: objectPath(key), body: value, header: ifMatch(ifVersion)})
+	return version, err
+}
+
+// Delete implements kinds.Platform.
+func (c *client) Delete(ctx context.Context, key string, ifVersion uint64) error {
+	_, _, err := c.do(ctx, call{method: http.MethodDelete, path: objectPath(key), header: ifMatch(ifVersion)})
+	return err
+}
+
+func ifMatch(version uint64) http.Header {
+	return http.Header{"If-Match": {`"` + strconv.FormatUint(version, 10) + `"`}}
+}
+
+// List implements kinds.Platform.
+func (c *client) List(ctx context.Context, prefix, after string, limit int) ([]kinds.Object, error) {
+	values := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	return c.objects(ctx, call{method: http.MethodGet, path: "/v1/list?" + values.Encode()})
+}
+
+// Watch implements kinds.Platform.
+func (c *client) Watch(ctx context.Context, prefix, after string, wait time.Duration) ([]kinds.Object, error) {
+	values := url.Values{"prefix": {prefix}, "after": {after}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	return c.objects(ctx, call{method: http.MethodGet, path: "/v1/watch?" + values.Encode(), wait: wait})
+}
+
+// wireObject is one object in the answer to a list or a watch.
+type wireObject struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+func (c *client) objects(ctx context.Context, k call) ([]kinds.Object, error) {
+	body, _, err := c.do(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	var listed []wireObject
+	if err := json.Unmarshal(body, &listed); err != nil {
+		return nil, core.Errorf(core.CodePlatformUnavailable, "the answer could not be read: %v", err)
+	}
+	objects := make([]kinds.Object, len(listed))
+	for i, o := range listed {
+		objects[i] = kinds.Object(o)
+	}
+	return objects, nil
+}
+
+// VMs implements kinds.Platform.
+func (c *client) VMs(ctx context.Context) ([]kinds.ListedVM, error) {
+	body, _, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/vms"})
+	if err != nil {
+		return nil, err
+	}
+	var vms []kinds.ListedVM
+	if err := json.Unmarshal(body, &vms); err != nil {
+		return nil, core.Errorf(core.CodePlatformUnavailable, "the answer could not be read: %v", err)
+	}
+	return vms, nil
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -12,6 +12,7 @@
 	_ "gooseberrylane.example/plugins/membership/static"
 	_ "gooseberrylane.example/plugins/metrics/expvar"
 	_ "gooseberrylane.example/plugins/peer/websocket"
+	_ "gooseberrylane.example/plugins/platform/http"
 	_ "gooseberrylane.example/plugins/records/none"
 	_ "gooseberrylane.example/plugins/retry/none"
 	_ "gooseberrylane.example/plugins/selection/random"
