--- a/kernel/kinds/kinds.go
+++ b/kernel/kinds/kinds.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"gooseberrylane.example/coord/config"
 	"gooseberrylane.example/coord/query"
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel"
@@ -186,3 +187,18 @@
 
 // PolicySet is what an engine needs to decide.
 type PolicySet = query.Policies
+
+// Operations lets operators change the configuration. Errors are *core.Error with codes of the configuration family,
+// CodeInvalidIntent with all problems, or CodePlatformUnavailable.
+type Operations interface {
+	// Plan checks an intent against the configuration in force and stores the plan.
+	Plan(ctx context.Context, intent config.Intent) (config.Plan, error)
+	// GetPlan returns a stored plan.
+	GetPlan(ctx context.Context, id config.PlanID) (config.Plan, error)
+	// Confirm makes a plan the next change. Confirming again returns the same change.
+	Confirm(ctx context.Context, id config.PlanID, operator string) (config.Change, error)
+	// History returns changes after a revision in order, at most limit.
+	History(ctx context.Context, after core.Revision, limit int) ([]config.Change, error)
+	// Progress asks the VMs how far a revision is in force.
+	Progress(ctx context.Context, revision core.Revision) (config.Progress, error)
+}
