Run non-idempotent requests at most once, and test whole paths with real processes

Cause: a caller's resend at another VM could run an order twice, and nothing proved the path with processes. A record on the platform, created before the request is sent, decides; only its creator sends.

The front end now asks callers to close their connections while the balancer's lag is waited out (default 1 s instead of 0).

Check proved: with a foreign started record treated as the claim's own, TestResendAtAnotherVMRunsOnce fails.

Not covered yet: records are never removed from the platform.

--- a/core/code.go
+++ b/core/code.go
@@ -32,6 +32,7 @@
 	CodeUnauthorized     Code = 2007
 	CodeBadWriteTarget   Code = 2008
 	CodeMethodNotAllowed Code = 2009
+	CodeRequestIDReused  Code = 2010
 
 	CodeNotRun              Code = 3000
 	CodeOverloaded          Code = 3001
@@ -92,6 +93,7 @@
 	{CodeUnauthorized, "unauthorized", "The credentials are missing or wrong."},
 	{CodeBadWriteTarget, "bad_write_target", "A non-idempotent request must name exactly one shard."},
 	{CodeMethodNotAllowed, "method_not_allowed", "The path does not support the method."},
+	{CodeRequestIDReused, "request_id_reused", "The request ID belongs to an earlier request with another content."},
 
 	{CodeNotRun, "not_run", "The request did not run."},
 	{CodeOverloaded, "overloaded", "The request was refused before it ran because queues are full."},
--- a/plugins/frontend/http/http.go
+++ b/plugins/frontend/http/http.go
@@ -34,7 +34,7 @@
 const (
 	defaultMaxBodyBytes   = 1 << 20
 	defaultMaxConnections = 4096
-	defaultBalancerLagMS  = 0
+	defaultBalancerLagMS  = 1000
 	headerTimeout         = 5 * time.Second
 	bodyTimeout           = 10 * time.Second
 	idleTimeout           = 2 * time.Minute
@@ -50,7 +50,7 @@
 	// MaxConnections bounds the connections of callers. Default 4096.
 	MaxConnections int `json:"max_connections" validate:"gte=1"`
 	// BalancerLagMS is how long the platform's balancer may still send work after the VM is not ready, in milliseconds.
-	// The VM serves during that time. Default 0.
+	// The VM serves during that time and asks callers to close their connections. Default 1000.
 	BalancerLagMS int64 `json:"balancer_lag_ms" validate:"gte=0,lte=600000"`
 }
 
@@ -74,7 +74,7 @@
 	f := &frontEnd{params: p, settings: settings}
 	router := gin.New()
 	router.HandleMethodNotAllowed = true
-	router.Use(gin.CustomRecovery(f.recovered))
+	router.Use(gin.CustomRecovery(f.recovered), f.closeWhileStopping)
 	router.NoRoute(func(c *gin.Context) { writeError(c, core.Errorf(core.CodeNotFound, "no such path"), 0) })
 	router.NoMethod(func(c *gin.Context) {
 		writeError(c, core.Errorf(core.CodeMethodNotAllowed, "method %s", c.Request.Method), 0)
@@ -115,6 +115,14 @@
 	return errors.Join(err, f.Membership.Leave(ctx))
 }
 
+// closeWhileStopping asks the caller to close its connection after the answer. A connection that the server closes while
+// it is idle could lose a request that is on its way.
+func (f *frontEnd) closeWhileStopping(c *gin.Context) {
+	if f.stopping.Load() {
+		c.Header("Connection", "close")
+	}
+}
+
 func (f *frontEnd) ready(c *gin.Context) {
 	if f.stopping.Load() || !f.State.Load().Ready {
 		writeError(c, core.Errorf(core.CodeNotReady, "the VM takes no new work"), 0)
--- /dev/null
+++ b/plugins/records/platform/platform.go
@@ -0,0 +1,123 @@
+// Package platform is the plug-in that keeps the records of non-idempotent requests as objects of the platform.
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/fx"
+
+	"gooseberrylane.example/coord/idempotency"
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind: kinds.RecordsKind, Name: "platform",
+		Settings: func() any {
+			return &Settings{MaxAnswerBytes: defaultMaxAnswerBytes, ClockGraceMS: defaultClockGraceMS}
+		},
+		Options: func(s any) fx.Option {
+			return fx.Provide(func(p params) kinds.Records { return &records{params: p, settings: s.(*Settings)} })
+		},
+	})
+}
+
+const (
+	defaultMaxAnswerBytes = 64 << 10
+	defaultClockGraceMS   = 2000
+	// retryDelay is the mean time between tries to claim while the platform does not tell what it did.
+	retryDelay = 20 * time.Millisecond
+	// abandonTimeout bounds the write that frees a record whose claim was given up.
+	abandonTimeout = 2 * time.Second
+)
+
+// Settings of the plug-in.
+type Settings struct {
+	// MaxAnswerBytes bounds the answer that is kept for a resend. Default 65536.
+	MaxAnswerBytes int `json:"max_answer_bytes" validate:"gte=0,lte=524288"`
+	// ClockGraceMS allows for the difference between the clocks of VMs, in milliseconds. Default 2000.
+	ClockGraceMS int64 `json:"clock_grace_ms" validate:"gte=0,lte=600000"`
+}
+
+type params struct {
+	fx.In
+	Platform kinds.Platform
+	Identity kernel.Identity
+	Clock    kernel.Clock
+	Random   *kernel.Random
+}
+
+type records struct {
+	params
+	settings *Settings
+	nonce    atomic.Uint64
+}
+
+// Begin implements kinds.Records.
+func (r *records) Begin(ctx context.Context, q *core.Query) (kinds.Claim, kinds.Record, error) {
+	key := "requests/" + string(q.Service) + "/" + string(q.RequestID)
+	c := idempotency.Claim{
+		VM: r.Identity.VM, Incarnation: r.Identity.Incarnation, Nonce: r.nonce.Add(1), Fingerprint: fingerprint(q),
+	}
+	claim := &claim{records: r, key: key, record: idempotency.Begin(nil, c, q.Deadline)}
+	random := r.Random.Generator()
+	err := claim.create(ctx)
+	for {
+		if err == nil {
+			return claim, kinds.Record{}, nil
+		}
+		if !unsettled(err) {
+			return nil, kinds.Record{}, err
+		}
+		known, decided, readErr := claim.settle(ctx, c, q.Deadline)
+		if decided {
+			return nil, known, readErr
+		}
+		if err = readErr; err == nil {
+			return claim, kinds.Record{}, nil
+		}
+		if !pause(ctx, random) {
+			go claim.abandon(c)
+			return nil, kinds.Record{}, core.Errorf(core.CodePlatformUnavailable, "the record could not be written: %v", err)
+		}
+	}
+}
+
+func (r *records) grace() time.Duration {
+	return time.Duration(r.settings.ClockGraceMS) * time.Millisecond
+}
+
+// unsettled reports whether a claim may have taken effect or may still be won after an error.
+func unsettled(err error) bool {
+	code := codeOf(err)
+	return code == core.CodeConflict || code == core.CodeNotKnownYet
+}
+
+func pause(ctx context.Context, random *rand.Rand) bool {
+	timer := time.NewTimer(time.Duration((0.5 + random.Float64()) * float64(retryDelay)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func fingerprint(q *core.Query) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// Writes to a digest cannot fail.
+	for _, shard := range q.Shards {
+		_, _ = d.WriteString(string(shard))
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(q.Payload)
+	return d.Sum64()
+}
--- /dev/null
+++ b/test/harness/harness.go
@@ -0,0 +1,296 @@
+// Package harness starts daemons as processes, with stand-ins in the test process, for tests of whole paths.
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/standins/deployment"
+	"gooseberrylane.example/standins/platform"
+	"gooseberrylane.example/standins/upstream"
+)
+
+// waitLimit bounds the wait for a state that a test needs. It is far above what a loaded machine takes, and only ends
+// a test that would hang.
+const waitLimit = 60 * time.Second
+
+var (
+	buildOnce sync.Once
+	buildPath string
+	buildErr  error
+)
+
+// Daemon returns the path of the built daemon. It is built once for each test process.
+func Daemon(c *qt.C) string {
+	buildOnce.Do(func() {
+		dir, err := os.MkdirTemp("", "gooseberrylaned")
+		if err != nil {
+			buildErr = err
+			return
+		}
+		buildPath = filepath.Join(dir, "gooseberrylaned")
+		out, err := exec.Command("go", "build", "-o", buildPath, "gooseberrylane.example/cmd/gooseberrylaned").CombinedOutput()
+		if err != nil {
+			buildErr = fmt.Errorf("build: %w: %s", err, out)
+		}
+	})
+	c.Assert(buildErr, qt.IsNil)
+	return buildPath
+}
+
+// RemoveDaemon removes the built daemon; call it at the end of TestMain.
+func RemoveDaemon() {
+	if buildPath != "" {
+		os.RemoveAll(filepath.Dir(buildPath))
+	}
+}
+
+// Cluster is a set of stand-ins and daemons.
+type Cluster struct {
+	c          *qt.C
+	Deployment *deployment.Deployment
+	Platform   *platform.Server
+	Upstreams  map[string]*upstream.Server
+	VMs        []*VM
+}
+
+// VM is one daemon process.
+type VM struct {
+	Name, Domain, Peer, Caller string
+	settings                   string
+	cmd                        *exec.Cmd
+	log                        *os.File
+	exited                     chan struct{}
+}
+
+// Plugins changes the plug-ins of a daemon's settings before it starts.
+type Plugins func(vm *VM, plugins map[string]any)
+
+// Start starts the stand-ins of a deployment and n daemons, and waits until the daemons are ready. Everything is ended
+// with the test.
+func Start(c *qt.C, name string, n int, change Plugins) *Cluster {
+	const seed = 1
+	c.Logf("deployment %s, seed %d", name, seed)
+	d, err := deployment.New(name, seed)
+	c.Assert(err, qt.IsNil)
+	cl := &Cluster{c: c, Deployment: d, Upstreams: make(map[string]*upstream.Server)}
+	addresses := make(map[string]string)
+	for _, cfg := range d.Upstreams {
+		s := upstream.New(cfg)
+		c.Assert(s.Start(), qt.IsNil)
+		c.Cleanup(func() { _ = s.Kill() })
+		cl.Upstreams[s.ID()], addresses[s.ID()] = s, s.Address()
+	}
+	d.Locate(addresses)
+	cl.Platform = platform.New("127.0.0.1:0", seed)
+	c.Assert(cl.Platform.Start(), qt.IsNil)
+	c.Cleanup(func() { _ = cl.Platform.Stop() })
+	for i := range n {
+		cl.VMs = append(cl.VMs, &VM{
+			Name: fmt.Sprintf("vm-%d", i+1), Domain: string(deployment.Domains[i%len(deployment.Domains)]),
+			Peer: loopbackAddress(peerPort), Caller: loopbackAddress(callerPort),
+		})
+	}
+	for _, vm := range cl.VMs {
+		cl.Launch(vm, change)
+	}
+	for _, vm := range cl.VMs {
+		cl.WaitReady(vm)
+	}
+	return cl
+}
+
+// Ports of the daemons. They are the same for all VMs, because each VM has addresses of its own.
+const (
+	peerPort   = 7101
+	callerPort = 7102
+)
+
+var lastAddress atomic.Uint32
+
+// loopbackAddress returns an address of the loopback range that no other process of the tests uses: the second and
+// third byte come from the process ID. Ports of 127.0.0.1 that are free now could be taken by an outgoing connection
+// before the daemon listens.
+func loopbackAddress(port int) string {
+	pid := os.Getpid()
+	n := lastAddress.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+(pid>>8)%254, pid%256, 1+n%254, port)
+}
+
+// Launch starts the process of a VM.
+func (cl *Cluster) Launch(vm *VM, change Plugins) {
+	plugins := cl.plugins(vm)
+	if change != nil {
+		change(vm, plugins)
+	}
+	raw, err := json.Marshal(map[string]any{
+		"vm": map[string]any{"name": vm.Name, "failure_domain": vm.Domain}, "plugins": plugins,
+	})
+	cl.c.Assert(err, qt.IsNil)
+	dir := cl.c.TempDir()
+	vm.settings = filepath.Join(dir, vm.Name+".json")
+	cl.c.Assert(os.WriteFile(vm.settings, raw, 0o600), qt.IsNil)
+	vm.log, err = os.Create(filepath.Join(dir, vm.Name+".log"))
+	cl.c.Assert(err, qt.IsNil)
+	vm.cmd = exec.Command(Daemon(cl.c), "-settings", vm.settings)
+	vm.cmd.Stderr = vm.log
+	cl.c.Assert(vm.cmd.Start(), qt.IsNil)
+	vm.exited = make(chan struct{})
+	cmd, exited, log := vm.cmd, vm.exited, vm.log
+	go func() {
+		// The exit status is read from the process state.
+		_ = cmd.Wait()
+		log.Close()
+		close(exited)
+	}()
+	cl.c.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		<-exited
+	})
+}
+
+func plugin(name string, settings any) []any {
+	p := map[string]any{"name": name}
+	if settings != nil {
+		p["settings"] = settings
+	}
+	return []any{p}
+}
+
+// Plugin returns the settings of a kind for which one plug-in is chosen.
+func Plugin(name string, settings any) []any { return plugin(name, settings) }
+
+func (cl *Cluster) plugins(vm *VM) map[string]any {
+	members := make([]map[string]any, len(cl.VMs))
+	for i, member := range cl.VMs {
+		members[i] = map[string]any{"name": member.Name, "failure_domain": member.Domain, "peer_address": member.Peer}
+	}
+	return map[string]any{
+		"front_end":     plugin("http", map[string]any{"listen": vm.Caller}),
+		"engine":        plugin("standard", nil),
+		"dispatch":      plugin("owner", nil),
+		"executor":      plugin("slots", nil),
+		"transport":     plugin("http", nil),
+		"platform":      plugin("http", map[string]any{"address": cl.Platform.Address()}),
+		"peer":          plugin("websocket", map[string]any{"listen": vm.Peer}),
+		"membership":    plugin("static", map[string]any{"members": members}),
+		"configuration": plugin("static", map[string]any{"services": cl.Deployment.Services}),
+		"selection":     plugin("random", nil),
+		"hedging":       plugin("none", nil),
+		"retry":         plugin("none", nil),
+		"admission":     plugin("open", nil),
+		"records":       plugin("platform", nil),
+	}
+}
+
+// IsReady reports whether a VM says that it is ready, as the platform's balancer asks.
+func IsReady(vm *VM) bool {
+	response, err := http.Get("http://" + vm.Caller + "/v1/ready")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// WaitReady waits until a VM says that it is ready.
+func (cl *Cluster) WaitReady(vm *VM) {
+	cl.WaitFor("ready "+vm.Name, func() bool { return IsReady(vm) })
+}
+
+// WaitFor waits until a condition holds and fails the test if it never does.
+func (cl *Cluster) WaitFor(what string, condition func() bool) {
+	const interval = 10 * time.Millisecond
+	for start := time.Now(); time.Since(start) < waitLimit; time.Sleep(interval) {
+		if condition() {
+			return
+		}
+	}
+	cl.c.Fatalf("still waiting for: %s", what)
+}
+
+// Signal sends a signal to the process of a VM.
+func (vm *VM) Signal(s os.Signal) error { return vm.cmd.Process.Signal(s) }
+
+// WaitExit waits for the end of the process and returns its exit status.
+func (vm *VM) WaitExit() int {
+	<-vm.exited
+	return vm.cmd.ProcessState.ExitCode()
+}
+
+// Log returns what the process logged so far.
+func (vm *VM) Log() string {
+	raw, err := os.ReadFile(vm.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
+// Answer is the body of an answer or of an error.
+type Answer struct {
+	Status   int `json:"-"`
+	Code     int `json:"code"`
+	Name     string
+	Detail   string
+	Snapshot uint64
+	Covered  []struct {
+		Shard string
+		Data  upstream.Data
+	}
+	Missing []struct {
+		Shard  string
+		Reason string
+	}
+	Problems []struct{ Path, Detail string }
+}
+
+// Ask posts a query to a VM.
+func Ask(ctx context.Context, vm *VM, body any) (*Answer, error) {
+	raw, ok := body.([]byte)
+	if !ok {
+		var err error
+		if raw, err = json.Marshal(body); err != nil {
+			return nil, err
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm.Caller+"/v1/query", bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	answer := &Answer{Status: response.StatusCode}
+	return answer, json.NewDecoder(response.Body).Decode(answer)
+}
+
+// MustAsk posts a query to a VM and fails the test if there is no answer.
+func (cl *Cluster) MustAsk(vm *VM, body any) *Answer {
+	answer, err := Ask(context.Background(), vm, body)
+	cl.c.Assert(err, qt.IsNil)
+	return answer
+}
+
+// Main runs the tests of a package and removes the built daemon.
+func Main(m *testing.M) {
+	status := m.Run()
+	RemoveDaemon()
+	os.Exit(status)
+}
--- /dev/null
+++ b/test/integration/once_test.go
@@ -0,0 +1,118 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/standins/platform"
+	"gooseberrylane.example/standins/upstream"
+	"gooseberrylane.example/test/harness"
+)
+
+func order(id string) map[string]any {
+	return map[string]any{
+		"service": "farm-contacts", "request_id": id, "idempotent": false, "shards": []string{"shard-00"},
+		"payload": map[string]any{"loads": 1}, "timeout_ms": 5000,
+	}
+}
+
+// total adds up a count over all upstreams.
+func total(cl *harness.Cluster, count func(upstream.Counts) uint64) uint64 {
+	var sum uint64
+	for _, s := range cl.Upstreams {
+		sum += count(s.Counts())
+	}
+	return sum
+}
+
+func runs(c upstream.Counts) uint64    { return c.NonIdempotentRun }
+func doubled(c upstream.Counts) uint64 { return c.DoubledRequests }
+
+// TestResendAtAnotherVMRunsOnce guards against an order that runs twice because the caller sends it again elsewhere,
+// one after the other and at the same time, while the platform loses answers.
+func TestResendAtAnotherVMRunsOnce(t *testing.T) {
+	c := qt.New(t)
+	cl := harness.Start(c, "directorate", 3, nil)
+	cl.Platform.SetFaults(platform.Faults{LostAnswerShare: 0.3, StaleShare: 0.3})
+	const orders = 40
+	var callers sync.WaitGroup
+	for i := range orders {
+		for _, vm := range cl.VMs {
+			callers.Go(func() {
+				_, err := harness.Ask(context.Background(), vm, order(fmt.Sprintf("order-%d", i)))
+				c.Check(err, qt.IsNil)
+			})
+		}
+	}
+	callers.Wait()
+	c.Assert(total(cl, doubled), qt.Equals, uint64(0))
+	c.Assert(total(cl, runs) <= orders, qt.IsTrue)
+	c.Assert(total(cl, runs) > 0, qt.IsTrue)
+	// Each order that the tier says did not run must not have run, and each resend must agree with the record.
+	cl.Platform.SetFaults(platform.Faults{})
+	before := total(cl, runs)
+	var claimed uint64
+	for i := range orders {
+		answer := cl.MustAsk(cl.VMs[i%len(cl.VMs)], order(fmt.Sprintf("order-%d", i)))
+		if answer.Name == "ok" {
+			claimed++
+		}
+	}
+	c.Assert(total(cl, doubled), qt.Equals, uint64(0))
+	c.Assert(claimed <= total(cl, runs), qt.IsTrue, qt.Commentf("%d orders claimed, %d ran, %d before", claimed, total(cl, runs), before))
+}
+
+// TestPlatformDownRefusesOrders guards against orders that are sent although a resend could not be recognized.
+func TestPlatformDownRefusesOrders(t *testing.T) {
+	c := qt.New(t)
+	cl := harness.Start(c, "directorate", 3, nil)
+	cl.Platform.SetFaults(platform.Faults{Down: true})
+	answer := cl.MustAsk(cl.VMs[0], order("down"))
+	c.Assert(answer.Name, qt.Equals, "platform_unavailable")
+	c.Assert(total(cl, runs), qt.Equals, uint64(0))
+	// Queries go on.
+	c.Assert(cl.MustAsk(cl.VMs[0], query("down-query")).Name, qt.Equals, "ok")
+	cl.Platform.SetFaults(platform.Faults{})
+	cl.WaitFor("orders to be taken again", func() bool { return cl.MustAsk(cl.VMs[0], order("down")).Name == "ok" })
+	c.Assert(total(cl, runs), qt.Equals, uint64(1))
+}
+
+// TestKilledEntryVMLeavesOutcomeUnknown guards against a second run when the VM that sent an order is killed before it
+// could record the outcome.
+func TestKilledEntryVMLeavesOutcomeUnknown(t *testing.T) {
+	c := qt.New(t)
+	cl := harness.Start(c, "directorate", 3, nil)
+	for _, s := range cl.Upstreams {
+		// Every order takes ten seconds, so that it is still running when the VM is killed.
+		s.SetFaults(upstream.Faults{StragglerShare: 1, StragglerFactor: 5000})
+	}
+	go func() {
+		// The answer never arrives: the VM is killed.
+		_, _ = harness.Ask(context.Background(), cl.VMs[0], order("killed"))
+	}()
+	cl.WaitFor("the order to run", func() bool { return total(cl, runs) == 1 })
+	c.Assert(cl.VMs[0].Signal(syscall.SIGKILL), qt.IsNil)
+	cl.VMs[0].WaitExit()
+	for range 3 {
+		answer := cl.MustAsk(cl.VMs[1], order("killed"))
+		c.Assert(answer.Name == "in_progress" || answer.Name == "outcome_unknown", qt.IsTrue, qt.Commentf("%+v", answer))
+	}
+	c.Assert(total(cl, runs), qt.Equals, uint64(1))
+}
+
+// TestReusedRequestIDIsRefused guards against an answer to one order being returned for another.
+func TestReusedRequestIDIsRefused(t *testing.T) {
+	c := qt.New(t)
+	cl := harness.Start(c, "directorate", 3, nil)
+	c.Assert(cl.MustAsk(cl.VMs[0], order("same")).Name, qt.Equals, "ok")
+	other := order("same")
+	other["payload"] = map[string]any{"loads": 2}
+	c.Assert(cl.MustAsk(cl.VMs[1], other).Name, qt.Equals, "request_id_reused")
+	c.Assert(cl.MustAsk(cl.VMs[1], order("same")).Name, qt.Equals, "ok")
+	c.Assert(total(cl, runs), qt.Equals, uint64(1))
+}
--- /dev/null
+++ b/test/integration/query_test.go
@@ -0,0 +1,144 @@
+// Package integration tests whole paths with daemons as real processes.
+package integration
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/standins/upstream"
+	"gooseberrylane.example/test/harness"
+)
+
+func TestMain(m *testing.M) { harness.Main(m) }
+
+const (
+	logs      = "harvest-logs"
+	logShards = 30
+)
+
+func query(id string) map[string]any {
+	return map[string]any{"service": logs, "request_id": id, "idempotent": true, "timeout_ms": 5000}
+}
+
+// TestAnswerCoversAllShards guards against answers that lack a shard, mix snapshots or carry another shard's data.
+func TestAnswerCoversAllShards(t *testing.T) {
+	c := qt.New(t)
+	cl := harness.Start(c, "directorate", 3, nil)
+	for i, vm := range cl.VMs {
+		answer := cl.MustAsk(vm, query(fmt.Sprintf("all-%d", i)))
+		c.Assert(answer.Name, qt.Equals, "ok")
+		c.Assert(answer.Covered, qt.HasLen, logShards)
+		for _, shard := range answer.Covered {
+			c.Check(shard.Data.Shard, qt.Equals, shard.Shard)
+			c.Check(shard.Data.Version, qt.Equals, answer.Snapshot)
+			c.Check(shard.Data.Count, qt.Equals, upstream.CountOf(shard.Shard, answer.Snapshot))
+		}
+	}
+}
+
+// TestDeadShardIsNamed guards against a lost shard that is left out silently.
+func TestDeadShardIsNamed(t *testing.T) {
+	c := qt.New(t)
+	cl := harness.Start(c, "directorate", 3, nil)
+	for _, replica := range []string{"harvest-logs-07-0", "harvest-logs-07-1"} {
+		c.Assert(cl.Upstreams[replica].Kill(), qt.IsNil)
+	}
+	answer := cl.MustAsk(cl.VMs[0], query("dead"))
+	c.Assert(answer.Name, qt.Equals, "partial")
+	c.Assert(answer.Covered, qt.HasLen, logShards-1)
+	c.Assert(answer.Missing, qt.HasLen, 1)
+	c.Assert(answer.Missing[0].Shard, qt.Equals, "shard-07")
+	c.Assert(answer.Missing[0].Reason, qt.Not(qt.Equals), "")
+}
+
+// TestPlannedStopCutsNothingOff guards against a graceful stop that ends requests in flight. Callers send to the VM as
+// the balancer does, while it says that it is ready; every such request must get a complete answer.
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	c := qt.New(t)
+	cl := harness.Start(c, "directorate", 3, func(vm *harness.VM, plugins map[string]any) {
+		// Far longer than the time between the check of readiness and the request that follows it.
+		plugins["front_end"] = harness.Plugin("http", map[string]any{"listen": vm.Caller, "balancer_lag_ms": 3000})
+	})
+	stopping := cl.VMs[0]
+	var answered, cut atomic.Int64
+	var callers sync.WaitGroup
+	const parallel = 8
+	for caller := range parallel {
+		callers.Go(func() {
+			for i := 0; harness.IsReady(stopping); i++ {
+				answer, err := harness.Ask(context.Background(), stopping, query(fmt.Sprintf("stop-%d-%d", caller, i)))
+				if err != nil || answer.Name != "ok" {
+					cut.Add(1)
+					c.Logf("answer %+v, error %v", answer, err)
+					return
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	cl.WaitFor("queries under way", func() bool { return answered.Load() > 3*parallel })
+	c.Assert(stopping.Signal(syscall.SIGTERM), qt.IsNil)
+	callers.Wait()
+	c.Assert(stopping.WaitExit(), qt.Equals, 0)
+	c.Assert(cut.Load(), qt.Equals, int64(0))
+}
+
+// TestBadSettingsAreRefusedTogether guards against a daemon that starts with settings that it does not understand, and
+// against problems that are reported one at a time.
+func TestBadSettingsAreRefusedTogether(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "bad.json")
+	bad := `{"vm": {"name": "vm-1", "failure_domain": "fd-1", "zone": "x"},
+	  "plugins": {"hedging": [{"name": "psychic"}], "front_end": [{"name": "http", "settings": {"listen": "nowhere", "max_bodies": 1}}]}}`
+	c.Assert(os.WriteFile(path, []byte(bad), 0o600), qt.IsNil)
+	cmd := exec.Command(harness.Daemon(c), "-settings", path)
+	out, err := cmd.CombinedOutput()
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(cmd.ProcessState.ExitCode(), qt.Equals, 2)
+	for _, want := range []string{
+		"bad_settings (6000)", "vm.zone: unknown field", `plugins.hedging[0].name: unknown plug-in "psychic"`,
+		"plugins.front_end[0].settings.max_bodies: unknown field",
+	} {
+		c.Check(string(out), qt.Contains, want)
+	}
+}
+
+// TestBadRequestsAreRefused guards against malformed requests that run or that are answered without a code.
+func TestBadRequestsAreRefused(t *testing.T) {
+	c := qt.New(t)
+	cl := harness.Start(c, "directorate", 1, nil)
+	tests := []struct {
+		about string
+		body  any
+		want  string
+	}{
+		{"not JSON", []byte("{"), "bad_request"},
+		{"unknown field", []byte(`{"servis": "x"}`), "bad_request"},
+		{"missing fields", map[string]any{}, "bad_request"},
+		{"unknown service", map[string]any{"service": "nope", "request_id": "r", "idempotent": true}, "unknown_service"},
+		{"unknown shard", map[string]any{"service": logs, "request_id": "r", "idempotent": true, "shards": []string{"s"}}, "unknown_shard"},
+		{"deadline above the limit", map[string]any{"service": logs, "request_id": "r", "idempotent": true, "timeout_ms": 1 << 30}, "bad_deadline"},
+		{"write to many shards", map[string]any{"service": logs, "request_id": "r", "idempotent": false}, "bad_write_target"},
+		{"body too large", []byte(`{"service": "` + strings.Repeat("x", 2<<20) + `"}`), "body_too_large"},
+	}
+	for _, test := range tests {
+		c.Run(test.about, func(c *qt.C) {
+			answer := cl.MustAsk(cl.VMs[0], test.body)
+			c.Check(answer.Name, qt.Equals, test.want)
+			c.Check(answer.Code, qt.Not(qt.Equals), 0)
+		})
+	}
+	for id, s := range cl.Upstreams {
+		c.Check(s.Counts().Received, qt.Equals, uint64(0), qt.Commentf("upstream %s", id))
+	}
+}
