--- a/plugins/records/platform/platform.go
+++ b/plugins/records/platform/platform.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -20,17 +21,22 @@
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.RecordsKind, Name: "platform",
 		Settings: func() any {
-			return &Settings{MaxAnswerBytes: defaultMaxAnswerBytes, ClockGraceMS: defaultClockGraceMS}
+			return &Settings{
+				MaxAnswerBytes: defaultMaxAnswerBytes, ClockGraceMS: defaultClockGraceMS,
+				RetentionMS: defaultRetentionMS, SweepIntervalMS: defaultSweepIntervalMS,
+			}
 		},
 		Options: func(s any) fx.Option {
-			return fx.Provide(func(p params) kinds.Records { return &records{params: p, settings: s.(*Settings)} })
+			return fx.Provide(func(lc fx.Lifecycle, p params) kinds.Records { return newRecords(lc, p, s.(*Settings)) })
 		},
 	})
 }
 
 const (
-	defaultMaxAnswerBytes = 64 << 10
-	defaultClockGraceMS   = 2000
+	defaultMaxAnswerBytes  = 64 << 10
+	defaultClockGraceMS    = 2000
+	defaultRetentionMS     = 24 * 60 * 60 * 1000
+	defaultSweepIntervalMS = 10 * 60 * 1000
 	// retryDelay is the mean time between tries to claim while the platform does not tell what it did.
 	retryDelay = 20 * time.Millisecond
 	// abandonTimeout bounds the write that frees a record whose claim was given up.
@@ -43,11 +49,18 @@
 	MaxAnswerBytes int `json:"max_answer_bytes" validate:"gte=0,lte=524288"`
 	// ClockGraceMS allows for the difference between the clocks of VMs, in milliseconds. Default 2000.
 	ClockGraceMS int64 `json:"clock_grace_ms" validate:"gte=0,lte=600000"`
+	// RetentionMS is how long a record is kept after the deadline of its request, in milliseconds. A resend after that
+	// runs again. Default 86400000.
+	RetentionMS int64 `json:"retention_ms" validate:"gte=60000"`
+	// SweepIntervalMS is the time between removals of old records, in milliseconds. Default 600000.
+	SweepIntervalMS int64 `json:"sweep_interval_ms" validate:"gte=100"`
 }
 
 type params struct {
 	fx.In
 	Platform kinds.Platform
+	State    *kernel.State
+	Log      *slog.Logger
 	Identity kernel.Identity
 	Clock    kernel.Clock
 	Random   *kernel.Random
@@ -59,9 +72,16 @@
 	nonce    atomic.Uint64
 }
 
+func newRecords(lc fx.Lifecycle, p params, settings *Settings) *records {
+	r := &records{params: p, settings: settings}
+	s := &sweeper{records: r}
+	lc.Append(fx.Hook{OnStart: s.start, OnStop: s.shutdown})
+	return r
+}
+
 // Begin implements kinds.Records.
 func (r *records) Begin(ctx context.Context, q *core.Query) (kinds.Claim, kinds.Record, error) {
-	key := "requests/" + string(q.Service) + "/" + string(q.RequestID)
+	key := recordPrefix + string(q.Service) + "/" + string(q.RequestID)
 	c := idempotency.Claim{
 		VM: r.Identity.VM, Incarnation: r.Identity.Incarnation, Nonce: r.nonce.Add(1), Fingerprint: fingerprint(q),
 	}
