Add the operator front end

Operators had no way to submit an intent. The new front end serves plans, confirms, history, progress and status on its own listener. It uses kinds.Operations and answers not_found on the paths that need it when the configuration plug-in takes no changes; status always works. The operator key is compared in constant time over hashes.

The router, the connection limit, the bounded strict body and the error body that both HTTP front ends need moved from plugins/frontend/http to plugins/frontend/internal/web; the JSON bodies that the command-line tool reads are in plugins/frontend/api. The failure of a listener is now logged as listener_failed with the address. Codes of the configuration family map to 409, 422 and 504 instead of 503.

Checked by breaking the rule once: with the given key cut to 16 bytes before the comparison, TestKeyGuardsEveryPath fails (a longer key was accepted).

--- a/plugins/frontend/http/http.go
+++ b/plugins/frontend/http/http.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,10 +15,10 @@
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
+	"gooseberrylane.example/plugins/frontend/internal/web"
 )
 
 func init() {
-	gin.SetMode(gin.ReleaseMode)
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.FrontEnd, Name: "http",
 		Settings: func() any {
@@ -35,10 +34,6 @@
 	defaultMaxBodyBytes   = 1 << 20
 	defaultMaxConnections = 4096
 	defaultBalancerLagMS  = 0
-	headerTimeout         = 5 * time.Second
-	bodyTimeout           = 10 * time.Second
-	idleTimeout           = 2 * time.Minute
-	maxHeaderBytes        = 16 << 10
 )
 
 // Settings of the plug-in.
@@ -66,42 +61,20 @@
 type frontEnd struct {
 	params
 	settings *Settings
-	server   *http.Server
+	server   *web.Server
 	stopping atomic.Bool
 }
 
 func newFrontEnd(lc fx.Lifecycle, p params, settings *Settings) *frontEnd {
 	f := &frontEnd{params: p, settings: settings}
-	router := gin.New()
-	router.HandleMethodNotAllowed = true
-	router.Use(gin.CustomRecovery(f.recovered))
-	router.NoRoute(func(c *gin.Context) { writeError(c, core.Errorf(core.CodeNotFound, "no such path"), 0) })
-	router.NoMethod(func(c *gin.Context) {
-		writeError(c, core.Errorf(core.CodeMethodNotAllowed, "method %s", c.Request.Method), 0)
-	})
+	router := web.NewRouter(p.Log)
 	router.POST("/v1/query", f.query)
 	router.GET("/v1/ready", f.ready)
-	f.server = &http.Server{
-		Handler: router, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	lc.Append(fx.Hook{OnStart: f.start, OnStop: f.stop})
+	f.server = web.NewServer(router, settings.Listen, settings.MaxConnections, p.Log)
+	lc.Append(fx.Hook{OnStart: f.server.Start, OnStop: f.stop})
 	return f
 }
 
-func (f *frontEnd) start(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", f.settings.Listen)
-	if err != nil {
-		return err
-	}
-	listener = newLimitListener(listener, f.settings.MaxConnections)
-	go func() {
-		if err := f.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			f.Log.Error("caller_listener_failed", "error", err.Error())
-		}
-	}()
-	return nil
-}
-
 // stop reports not ready, serves until the balancer has noticed, and then waits for the requests in flight.
 func (f *frontEnd) stop(ctx context.Context) error {
 	f.stopping.Store(true)
@@ -111,68 +84,14 @@
 	case <-lag.C:
 	case <-ctx.Done():
 	}
-	err := f.server.Shutdown(ctx)
+	err := f.server.Stop(ctx)
 	return errors.Join(err, f.Membership.Leave(ctx))
 }
 
 func (f *frontEnd) ready(c *gin.Context) {
 	if f.stopping.Load() || !f.State.Load().Ready {
-		writeError(c, core.Errorf(core.CodeNotReady, "the VM takes no new work"), 0)
+		web.WriteError(c, core.Errorf(core.CodeNotReady, "the VM takes no new work"), 0)
 		return
 	}
 	c.JSON(http.StatusOK, gin.H{"ready": true, "revision": f.State.Load().Config.Revision})
 }
-
-func (f *frontEnd) recovered(c *gin.Context, cause any) {
-	f.Log.Error("request_panicked", "cause", cause)
-	writeError(c, core.Errorf(core.CodeInternal, "the request failed inside the VM"), 0)
-}
-
-// limitListener bounds the open connections; further ones wait in the backlog of the operating system.
-type limitListener struct {
-	net.Listener
-	tokens chan struct{}
-	closed chan struct{}
-	once   atomic.Bool
-}
-
-func newLimitListener(l net.Listener, limit int) *limitListener {
-	return &limitListener{Listener: l, tokens: make(chan struct{}, limit), closed: make(chan struct{})}
-}
-
-// Accept implements net.Listener.
-func (l *limitListener) Accept() (net.Conn, error) {
-	select {
-	case l.tokens <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.tokens
-		return nil, err
-	}
-	return &limitedConn{Conn: c, release: func() { <-l.tokens }}, nil
-}
-
-// Close implements net.Listener.
-func (l *limitListener) Close() error {
-	if l.once.CompareAndSwap(false, true) {
-		close(l.closed)
-	}
-	return l.Listener.Close()
-}
-
-type limitedConn struct {
-	net.Conn
-	once    atomic.Bool
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	if c.once.CompareAndSwap(false, true) {
-		defer c.release()
-	}
-	return c.Conn.Close()
-}
--- a/plugins/frontend/http/query.go
+++ b/plugins/frontend/http/query.go
@@ -2,19 +2,16 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"math"
-	"net/http"
 	"regexp"
-	"strconv"
 	"time"
 
 	"github.com/gin-gonic/gin"
 
 	"gooseberrylane.example/coord/query"
 	"gooseberrylane.example/core"
+	"gooseberrylane.example/plugins/frontend/internal/web"
 )
 
 const maxShardsNamed = 100_000
@@ -68,47 +65,21 @@
 	Outcome  string          `json:"outcome"`
 }
 
-// errorBody is the body of every refused request.
-type errorBody struct {
-	Code         core.Code      `json:"code"`
-	Name         string         `json:"name"`
-	Meaning      string         `json:"meaning"`
-	Detail       string         `json:"detail,omitempty"`
-	Problems     []core.Problem `json:"problems,omitempty"`
-	RetryAfterMS int64          `json:"retry_after_ms,omitempty"`
-}
-
 func (f *frontEnd) query(c *gin.Context) {
 	arrived := f.Clock.Now()
-	body, err := f.decode(c)
-	if err != nil {
-		writeError(c, err, 0)
+	var body queryRequest
+	if err := web.ReadJSON(c, f.settings.MaxBodyBytes, &body); err != nil {
+		web.WriteError(c, err, 0)
 		return
 	}
-	q, err := f.toQuery(arrived, body)
+	q, err := f.toQuery(arrived, &body)
 	if err != nil {
-		writeError(c, err, 0)
+		web.WriteError(c, err, 0)
 		return
 	}
 	writeAnswer(c, f.Engine.Run(c.Request.Context(), q))
 }
 
-func (f *frontEnd) decode(c *gin.Context) (*queryRequest, error) {
-	raw, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, f.settings.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, core.Errorf(core.CodeBodyTooLarge, "the limit is %d bytes", tooLarge.Limit)
-	}
-	if err != nil {
-		return nil, core.Errorf(core.CodeBadRequest, "the body could not be read")
-	}
-	var body queryRequest
-	if err := strictUnmarshal(raw, &body); err != nil {
-		return nil, core.Errorf(core.CodeBadRequest, "%v", err)
-	}
-	return &body, nil
-}
-
 func (f *frontEnd) toQuery(arrived time.Time, body *queryRequest) (core.Query, error) {
 	if err := checkRequest(body); err != nil {
 		return core.Query{}, err
@@ -162,10 +133,10 @@
 
 func writeAnswer(c *gin.Context, answer core.Answer) {
 	if len(answer.Covered) == 0 && len(answer.Missing) == 0 && answer.Code != core.CodeOK {
-		writeError(c, &core.Error{Code: answer.Code, Detail: answer.Detail}, answer.RetryAfter)
+		web.WriteError(c, &core.Error{Code: answer.Code, Detail: answer.Detail}, answer.RetryAfter)
 		return
 	}
-	c.JSON(statusOf(answer.Code), toBody(&answer))
+	c.JSON(web.StatusOf(answer.Code), toBody(&answer))
 }
 
 func toBody(answer *core.Answer) answerBody {
@@ -203,45 +174,3 @@
 	}
 	return text
 }
-
-func writeError(c *gin.Context, err error, retryAfter time.Duration) {
-	var coded *core.Error
-	if !errors.As(err, &coded) {
-		coded = core.Errorf(core.CodeInternal, "%v", err)
-	}
-	if retryAfter > 0 {
-		c.Header("Retry-After", strconv.FormatInt(int64(math.Ceil(retryAfter.Seconds())), 10))
-	}
-	c.AbortWithStatusJSON(statusOf(coded.Code), errorBody{
-		Code: coded.Code, Name: coded.Code.String(), Meaning: coded.Code.Meaning(), Detail: coded.Detail,
-		Problems: coded.Problems, RetryAfterMS: retryAfter.Milliseconds(),
-	})
-}
-
-// statusOf maps result codes to HTTP status codes. A partial answer is a success that says what it lacks.
-func statusOf(code core.Code) int {
-	switch code {
-	case core.CodeOK, core.CodePartial:
-		return http.StatusOK
-	case core.CodeNotFound, core.CodeUnknownService, core.CodeUnknownShard:
-		return http.StatusNotFound
-	case core.CodeBodyTooLarge:
-		return http.StatusRequestEntityTooLarge
-	case core.CodeUnauthorized:
-		return http.StatusUnauthorized
-	case core.CodeMethodNotAllowed:
-		return http.StatusMethodNotAllowed
-	case core.CodeRateLimited:
-		return http.StatusTooManyRequests
-	case core.CodeInProgress, core.CodeAlreadyRan:
-		return http.StatusConflict
-	case core.CodeOutcomeUnknown:
-		return http.StatusGatewayTimeout
-	case core.CodeInternal:
-		return http.StatusInternalServerError
-	}
-	if code >= core.CodeBadRequest && code < core.CodeNotRun {
-		return http.StatusBadRequest
-	}
-	return http.StatusServiceUnavailable
-}
--- /dev/null
+++ b/plugins/frontend/internal/web/body.go
@@ -0,0 +1,90 @@
+package web
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/plugins/frontend/api"
+)
+
+// ReadJSON decodes the body of a request, which must be one JSON value of at most limit bytes without unknown fields.
+// The error is a *core.Error with CodeBodyTooLarge or CodeBadRequest.
+func ReadJSON(c *gin.Context, limit int64, target any) error {
+	raw, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return core.Errorf(core.CodeBodyTooLarge, "the limit is %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return core.Errorf(core.CodeBadRequest, "the body could not be read")
+	}
+	return Decode(raw, target)
+}
+
+// Decode decodes one JSON value and refuses unknown fields and trailing text. The error is a *core.Error with
+// CodeBadRequest.
+func Decode(raw []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return core.Errorf(core.CodeBadRequest, "%v", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return core.Errorf(core.CodeBadRequest, "text after the end of the JSON value")
+	}
+	return nil
+}
+
+// WriteError answers a request with the body of an error. An error that is no *core.Error becomes CodeInternal.
+func WriteError(c *gin.Context, err error, retryAfter time.Duration) {
+	var coded *core.Error
+	if !errors.As(err, &coded) {
+		coded = core.Errorf(core.CodeInternal, "%v", err)
+	}
+	if retryAfter > 0 {
+		c.Header("Retry-After", strconv.FormatInt(int64(math.Ceil(retryAfter.Seconds())), 10))
+	}
+	c.AbortWithStatusJSON(StatusOf(coded.Code), api.ErrorBody{
+		Code: coded.Code, Name: coded.Code.String(), Meaning: coded.Code.Meaning(), Detail: coded.Detail,
+		Problems: coded.Problems, RetryAfterMS: retryAfter.Milliseconds(),
+	})
+}
+
+// StatusOf maps result codes to HTTP status codes. A partial answer is a success that says what it lacks.
+func StatusOf(code core.Code) int {
+	switch code {
+	case core.CodeOK, core.CodePartial:
+		return http.StatusOK
+	case core.CodeNotFound, core.CodeUnknownService, core.CodeUnknownShard, core.CodePlanNotFound:
+		return http.StatusNotFound
+	case core.CodeBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case core.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case core.CodeMethodNotAllowed:
+		return http.StatusMethodNotAllowed
+	case core.CodeRateLimited:
+		return http.StatusTooManyRequests
+	case core.CodeInProgress, core.CodeAlreadyRan, core.CodeBaseMoved, core.CodePlanExpired, core.CodeAlreadyConfirmed, core.CodeConflict:
+		return http.StatusConflict
+	case core.CodeInvalidIntent:
+		return http.StatusUnprocessableEntity
+	case core.CodeOutcomeUnknown, core.CodeNotKnownYet:
+		return http.StatusGatewayTimeout
+	case core.CodeInternal:
+		return http.StatusInternalServerError
+	}
+	if code >= core.CodeBadRequest && code < core.CodeNotRun {
+		return http.StatusBadRequest
+	}
+	return http.StatusServiceUnavailable
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -8,6 +8,7 @@
 	_ "gooseberrylane.example/plugins/engine/standard"
 	_ "gooseberrylane.example/plugins/executor/slots"
 	_ "gooseberrylane.example/plugins/frontend/http"
+	_ "gooseberrylane.example/plugins/frontend/operator"
 	_ "gooseberrylane.example/plugins/hedging/none"
 	_ "gooseberrylane.example/plugins/membership/static"
 	_ "gooseberrylane.example/plugins/metrics/expvar"
