Measure service-level burn and let plug-ins observe queries

Nothing measured whether a service reached its objectives. coord/burn counts queries against objectives for latency, coverage and completed requests, keeps the counts in slots of a minute and an hour that line up on all VMs, merges them, and computes burn rates over 5 min, 1 h, 6 h and 3 days and the budget left of 30 days.

The kernel gains two fx groups in kernel/kinds: QueryObserver, which the engine calls for every finished query, and Metric, which the expvar plug-in publishes. Both take any number of values.

Checked by breaking the rule once: without the incarnation in the merge key TestMergeKeepsTheFullestSlot reports 2 of 4 queries, and with buckets added without subtracting the last readout TestRecordWithoutLossInParallel fails.

--- /dev/null
+++ b/coord/burn/recorder.go
@@ -0,0 +1,79 @@
+package burn
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Fields of a stripe, in the order in which Record adds to them.
+const (
+	fieldRequests = iota
+	fieldCompleted
+	fieldTimely
+	fieldAsked
+	fieldCovered
+	fieldExcluded
+	fieldCount
+)
+
+// cacheLine is the distance in bytes that keeps two stripes from sharing a cache line.
+const cacheLine = 64
+
+type stripe struct {
+	fields  [fieldCount]atomic.Uint64
+	buckets [bucketCount]atomic.Uint64
+	_       [cacheLine]byte
+}
+
+// Recorder counts the events of one service. Record takes no lock; the stripes keep processors from writing to the same
+// cache lines.
+type Recorder struct {
+	latency time.Duration
+	stripes []stripe
+}
+
+// NewRecorder returns a recorder for the latency of an objective, with a number of stripes that is rounded up to a power
+// of two.
+func NewRecorder(latency time.Duration, stripes int) *Recorder {
+	n := 1
+	for n < stripes {
+		n *= 2
+	}
+	return &Recorder{latency: latency, stripes: make([]stripe, n)}
+}
+
+// Record counts one event. hint selects the stripe; a random number spreads the load.
+func (r *Recorder) Record(hint uint32, e Event) {
+	s := &r.stripes[int(hint)&(len(r.stripes)-1)]
+	counts := Classify(e, r.latency)
+	for field, n := range [fieldCount]uint64{
+		counts.Requests, counts.Completed, counts.Timely, counts.ShardsAsked, counts.ShardsCovered, counts.Excluded,
+	} {
+		if n > 0 {
+			s.fields[field].Add(n)
+		}
+	}
+	if counts.Completed > 0 {
+		s.buckets[bucketIndex(e.Took)].Add(1)
+	}
+}
+
+// Read returns all that was recorded so far. Fields are read in the reverse order of their writes, so that an event that
+// is recorded meanwhile never shows as completed without being a request.
+func (r *Recorder) Read() (Counts, Buckets) {
+	var total [fieldCount]uint64
+	buckets := make(Buckets, bucketCount)
+	for i := range r.stripes {
+		s := &r.stripes[i]
+		for b := range s.buckets {
+			buckets[b] += s.buckets[b].Load()
+		}
+		for field := fieldCount - 1; field >= 0; field-- {
+			total[field] += s.fields[field].Load()
+		}
+	}
+	return Counts{
+		Requests: total[fieldRequests], Completed: total[fieldCompleted], Timely: total[fieldTimely],
+		ShardsAsked: total[fieldAsked], ShardsCovered: total[fieldCovered], Excluded: total[fieldExcluded],
+	}, buckets
+}
--- /dev/null
+++ b/coord/burn/series.go
@@ -0,0 +1,129 @@
+package burn
+
+import (
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"gooseberrylane.example/core"
+)
+
+// Widths of the slots of a series. Slots start at multiples of their width since 1970, so that the slots of all VMs
+// line up.
+const (
+	FineWidth   = time.Minute
+	CoarseWidth = time.Hour
+)
+
+// Numbers of slots that a series keeps. Fine slots cover the windows up to 6 h, coarse slots a month. Histograms are
+// larger than counts and kept for the longest window only.
+const (
+	fineSlots      = 6 * 60
+	coarseSlots    = 31 * 24
+	histogramSlots = 3 * 24
+)
+
+// Slot holds what was recorded in one slot of time.
+type Slot struct {
+	// Start is the Unix time in seconds at which the slot starts.
+	Start  int64  `json:"start"`
+	Counts Counts `json:"counts"`
+	// HDR is the histogram of latencies in microseconds in the compressed V2 encoding; empty in fine and old slots.
+	HDR string `json:"hdr,omitempty"`
+}
+
+// slot is a Slot with its histogram.
+type slot struct {
+	start     int64
+	counts    Counts
+	histogram *hdr.Histogram
+}
+
+// Series keeps the counts of one service on one VM in slots of time. It is not safe for concurrent use.
+type Series struct {
+	counts  Counts
+	buckets Buckets
+	fine    []slot
+	coarse  []slot
+}
+
+// Advance adds what a recorder counted since the last call to the slots of the given time. total and buckets are those of
+// Recorder.Read.
+func (s *Series) Advance(now time.Time, total Counts, buckets Buckets) {
+	added := total.Minus(s.counts)
+	addedBuckets := buckets.minus(s.buckets)
+	s.counts, s.buckets = total, buckets
+	if added == (Counts{}) && addedBuckets == nil {
+		return
+	}
+	fine := openSlot(&s.fine, now, FineWidth, fineSlots)
+	fine.counts = fine.counts.Plus(added)
+	coarse := openSlot(&s.coarse, now, CoarseWidth, coarseSlots)
+	coarse.counts = coarse.counts.Plus(added)
+	if addedBuckets != nil {
+		if coarse.histogram == nil {
+			coarse.histogram = NewHistogram()
+		}
+		coarse.histogram.Merge(addedBuckets.Histogram())
+	}
+	for i := range s.coarse {
+		if s.coarse[i].start <= now.Add(-histogramSlots*CoarseWidth).Unix() {
+			s.coarse[i].histogram = nil
+		}
+	}
+}
+
+// openSlot returns the slot of a time and drops slots that are too old. A clock that steps back adds to the last slot.
+func openSlot(slots *[]slot, now time.Time, width time.Duration, keep int) *slot {
+	start := now.Truncate(width).Unix()
+	if n := len(*slots); n > 0 && (*slots)[n-1].start >= start {
+		return &(*slots)[n-1]
+	}
+	oldest := start - int64(keep-1)*int64(width/time.Second)
+	first := 0
+	for first < len(*slots) && (*slots)[first].start < oldest {
+		first++
+	}
+	*slots = append((*slots)[first:], slot{start: start})
+	return &(*slots)[len(*slots)-1]
+}
+
+// Snapshot returns the slots. The error is that of the encoding of a histogram.
+func (s *Series) Snapshot(service core.ServiceName, targets Targets) (ServiceSnapshot, error) {
+	snapshot := ServiceSnapshot{Service: service, Targets: targets, Fine: make([]Slot, len(s.fine)), Coarse: make([]Slot, len(s.coarse))}
+	for i := range s.fine {
+		snapshot.Fine[i] = Slot{Start: s.fine[i].start, Counts: s.fine[i].counts}
+	}
+	for i := range s.coarse {
+		snapshot.Coarse[i] = Slot{Start: s.coarse[i].start, Counts: s.coarse[i].counts}
+		if s.coarse[i].histogram == nil {
+			continue
+		}
+		encoded, err := s.coarse[i].histogram.EncodeV2()
+		if err != nil {
+			return snapshot, core.Errorf(core.CodeInternal, "histogram of service %q: %v", service, err)
+		}
+		snapshot.Coarse[i].HDR = string(encoded)
+	}
+	return snapshot, nil
+}
+
+// Snapshot is what one process start of one VM recorded.
+type Snapshot struct {
+	VM          core.VMName        `json:"vm"`
+	Incarnation core.Incarnation   `json:"incarnation"`
+	Domain      core.FailureDomain `json:"failure_domain"`
+	// Since and AsOf are the Unix times in seconds between which the VM recorded.
+	Since    int64             `json:"since"`
+	AsOf     int64             `json:"as_of"`
+	Services []ServiceSnapshot `json:"services"`
+}
+
+// ServiceSnapshot is what one VM recorded of one service.
+type ServiceSnapshot struct {
+	Service core.ServiceName `json:"service"`
+	Targets Targets          `json:"targets"`
+	// Fine and Coarse are the slots of FineWidth and CoarseWidth that hold events, in order.
+	Fine   []Slot `json:"fine"`
+	Coarse []Slot `json:"coarse"`
+}
--- a/kernel/kinds/kinds.go
+++ b/kernel/kinds/kinds.go
@@ -44,7 +44,9 @@
 	RecordsKind kernel.Kind = "records"
 	// MetricsKind plug-ins publish metrics; any number.
 	MetricsKind kernel.Kind = "metrics"
-	// ReportKind plug-ins compute reports; any number.
+	// QueryObserverKind plug-ins learn of finished queries and provide QueryObserver with ProvideObserver; any number.
+	QueryObserverKind kernel.Kind = "query_observer"
+	// ReportKind plug-ins compute reports; any number. They may provide QueryObserver and Metric too.
 	ReportKind kernel.Kind = "report"
 )
 
--- a/plugins/engine/standard/engine.go
+++ b/plugins/engine/standard/engine.go
@@ -56,6 +56,7 @@
 	Selector   query.Selector
 	Hedger     query.Hedger
 	Retrier    query.Retrier
+	Observers  []kinds.QueryObserver `group:"query_observers"`
 }
 
 type engine struct {
@@ -66,6 +67,17 @@
 
 // Run implements kinds.Engine.
 func (e *engine) Run(ctx context.Context, q core.Query) core.Answer {
+	started := e.Clock.Now()
+	answer := e.admit(ctx, q)
+	took := e.Clock.Now().Sub(started)
+	for _, observer := range e.Observers {
+		observer.QueryFinished(&q, &answer, took)
+	}
+	return answer
+}
+
+// admit runs a query if the state of the VM and the admission allow it.
+func (e *engine) admit(ctx context.Context, q core.Query) core.Answer {
 	view := e.State.Load()
 	if !view.Ready {
 		return refuse(&q, core.Errorf(core.CodeNotReady, "no configuration is in force on this VM"), 0)
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -15,6 +15,7 @@
 	_ "gooseberrylane.example/plugins/peer/websocket"
 	_ "gooseberrylane.example/plugins/platform/http"
 	_ "gooseberrylane.example/plugins/records/none"
+	_ "gooseberrylane.example/plugins/report/burn"
 	_ "gooseberrylane.example/plugins/retry/none"
 	_ "gooseberrylane.example/plugins/selection/random"
 	_ "gooseberrylane.example/plugins/transport/http"
