Expire burn slots by time instead of by number

Cause: a VM without new requests kept slots that the others had dropped, so the fleet's report differed from the report of one VM with all queries (found by TestMergeOfPartsEqualsWhole after 29 cases). Slots are now dropped at each advance by the span they must cover, which includes the slot that the window starts in.

--- a/coord/burn/burn_test.go
+++ b/coord/burn/burn_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"gooseberrylane.example/core"
+	_ "gooseberrylane.example/test/seed"
 )
 
 var testTargets = Targets{LatencyMS: 100, Latency: 0.9, Coverage: 0.99, Completed: 0.999}
--- a/coord/burn/merge.go
+++ b/coord/burn/merge.go
@@ -108,7 +108,7 @@
 // as they reach.
 func (t *ServiceTotals) Window(now time.Time, window time.Duration) Counts {
 	slots, width := t.fine, FineWidth
-	if window > fineSlots*FineWidth {
+	if window > fineSpan {
 		slots, width = t.coarse, CoarseWidth
 	}
 	return sum(slots, now.Add(-window).Truncate(width), now.Truncate(width).Add(width))
--- a/coord/burn/series.go
+++ b/coord/burn/series.go
@@ -15,12 +15,12 @@
 	CoarseWidth = time.Hour
 )
 
-// Numbers of slots that a series keeps. Fine slots cover the windows up to 6 h, coarse slots a month. Histograms are
-// larger than counts and kept for the longest window only.
+// Spans of time that a series keeps, before the slot that holds now. Histograms are larger than counts and kept for the
+// longest window only.
 const (
-	fineSlots      = 6 * 60
-	coarseSlots    = 31 * 24
-	histogramSlots = 3 * 24
+	fineSpan      = 6 * time.Hour
+	coarseSpan    = 31 * 24 * time.Hour
+	histogramSpan = 3 * 24 * time.Hour
 )
 
 // Slot holds what was recorded in one slot of time.
@@ -53,12 +53,13 @@
 	added := total.Minus(s.counts)
 	addedBuckets := buckets.minus(s.buckets)
 	s.counts, s.buckets = total, buckets
+	s.expire(now)
 	if added == (Counts{}) && addedBuckets == nil {
 		return
 	}
-	fine := openSlot(&s.fine, now, FineWidth, fineSlots)
+	fine := openSlot(&s.fine, now, FineWidth)
 	fine.counts = fine.counts.Plus(added)
-	coarse := openSlot(&s.coarse, now, CoarseWidth, coarseSlots)
+	coarse := openSlot(&s.coarse, now, CoarseWidth)
 	coarse.counts = coarse.counts.Plus(added)
 	if addedBuckets != nil {
 		if coarse.histogram == nil {
@@ -66,25 +67,37 @@
 		}
 		coarse.histogram.Merge(addedBuckets.Histogram())
 	}
+}
+
+// expire drops what is older than the spans, also when nothing new was recorded: a VM without requests must report the
+// same span as the others.
+func (s *Series) expire(now time.Time) {
+	s.fine = since(s.fine, now.Add(-fineSpan).Truncate(FineWidth))
+	s.coarse = since(s.coarse, now.Add(-coarseSpan).Truncate(CoarseWidth))
+	oldest := now.Add(-histogramSpan).Truncate(CoarseWidth).Unix()
 	for i := range s.coarse {
-		if s.coarse[i].start <= now.Add(-histogramSlots*CoarseWidth).Unix() {
+		if s.coarse[i].start < oldest {
 			s.coarse[i].histogram = nil
 		}
 	}
 }
 
-// openSlot returns the slot of a time and drops slots that are too old. A clock that steps back adds to the last slot.
-func openSlot(slots *[]slot, now time.Time, width time.Duration, keep int) *slot {
+// since returns the slots that start at or after a time.
+func since(slots []slot, oldest time.Time) []slot {
+	first := 0
+	for first < len(slots) && slots[first].start < oldest.Unix() {
+		first++
+	}
+	return slots[first:]
+}
+
+// openSlot returns the slot of a time. A clock that steps back adds to the last slot.
+func openSlot(slots *[]slot, now time.Time, width time.Duration) *slot {
 	start := now.Truncate(width).Unix()
 	if n := len(*slots); n > 0 && (*slots)[n-1].start >= start {
 		return &(*slots)[n-1]
 	}
-	oldest := start - int64(keep-1)*int64(width/time.Second)
-	first := 0
-	for first < len(*slots) && (*slots)[first].start < oldest {
-		first++
-	}
-	*slots = append((*slots)[first:], slot{start: start})
+	*slots = append(*slots, slot{start: start})
 	return &(*slots)[len(*slots)-1]
 }
 
