--- a/standins/platform/handlers.go
+++ b/standins/platform/handlers.go
@@ -11,8 +11,10 @@
 
 // Bounds of list and watch calls.
 const (
-	maxListed    = 1000
-	maxWatchWait = 60 * time.Second
+	maxListed = 1000
+	// maxListedBytes bounds the values of one answer: a thousand values of 1 MB would exceed what clients read.
+	maxListedBytes = 32 << 20
+	maxWatchWait   = 60 * time.Second
 )
 
 // Listed is one object in the answer to a list or a watch.
@@ -167,11 +169,13 @@
 
 func (s *Server) listed(prefix, after string, limit int) []Listed {
 	listed := []Listed{}
+	bytes := 0
 	for _, key := range s.keysAfter(prefix, after) {
-		if len(listed) == limit {
+		o := s.objects[key]
+		bytes += len(o.value)
+		if len(listed) == limit || (len(listed) > 0 && bytes > maxListedBytes) {
 			break
 		}
-		o := s.objects[key]
 		listed = append(listed, Listed{Key: key, Value: o.value, Version: o.version})
 	}
 	return listed
--- a/standins/platform/platform.go
+++ b/standins/platform/platform.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -68,6 +69,8 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	objects map[string]*object
+	// keys holds the keys of objects in order.
+	keys    []string
 	version uint64
 	changed chan struct{}
 	vms     []VM
@@ -130,18 +133,17 @@
 func (s *Server) Keys(prefix string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.keysAfter(prefix, "")
+	return slices.Clone(s.keysAfter(prefix, ""))
 }
 
+// keysAfter returns the keys with a prefix that sort after a key. The result shares memory with the server.
 func (s *Server) keysAfter(prefix, after string) []string {
-	var keys []string
-	for key := range s.objects {
-		if strings.HasPrefix(key, prefix) && key > after {
-			keys = append(keys, key)
-		}
+	first, found := slices.BinarySearch(s.keys, max(prefix, after))
+	if found && after >= prefix {
+		first++
 	}
-	sort.Strings(keys)
-	return keys
+	end := first + sort.Search(len(s.keys)-first, func(i int) bool { return !strings.HasPrefix(s.keys[first+i], prefix) })
+	return s.keys[first:end]
 }
 
 // put writes an object if the condition holds. ifVersion 0 means that the object must not exist.
@@ -157,6 +159,9 @@
 	s.version++
 	if old != nil {
 		old.previous = nil
+	} else {
+		at, _ := slices.BinarySearch(s.keys, key)
+		s.keys = slices.Insert(s.keys, at, key)
 	}
 	s.objects[key] = &object{value: value, version: s.version, previous: old}
 	s.notify()
@@ -172,6 +177,8 @@
 		return true, false
 	}
 	delete(s.objects, key)
+	at, _ := slices.BinarySearch(s.keys, key)
+	s.keys = slices.Delete(s.keys, at, at+1)
 	s.notify()
 	return true, true
 }
--- a/standins/upstream/handlers.go
+++ b/standins/upstream/handlers.go
@@ -39,7 +39,9 @@
 
 type request struct {
 	id, attempt, shard string
+	upstream           string
 	idempotent         bool
+	overLimit          bool
 	version            uint64
 	deadline           time.Time
 }
@@ -49,6 +51,7 @@
 	deadline, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Us"), 10, 64)
 	return request{
 		id: r.Header.Get("X-Request-Id"), attempt: r.Header.Get("X-Attempt"), shard: r.Header.Get("X-Shard"),
+		upstream: r.Header.Get("X-Upstream"), overLimit: overLimit(r),
 		idempotent: r.Header.Get("X-Idempotent") != "0", version: version, deadline: time.UnixMicro(deadline),
 	}
 }
@@ -116,6 +119,11 @@
 
 func (s *Server) refusal(req *request) string {
 	switch {
+	case req.upstream != "" && req.upstream != s.cfg.ID:
+		s.counts.Misrouted++
+		return "unknown_shard"
+	case req.overLimit:
+		return "overloaded"
 	case !time.Now().Before(req.deadline):
 		s.counts.Expired++
 		return "expired"
--- a/standins/upstream/upstream.go
+++ b/standins/upstream/upstream.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -49,12 +50,16 @@
 
 // Counts is what an upstream saw.
 type Counts struct {
-	Connections      int64  `json:"connections"`
-	PeakConnections  int64  `json:"peak_connections"`
-	OverConnections  uint64 `json:"over_connections"`
-	Running          int64  `json:"running"`
-	PeakRunning      int64  `json:"peak_running"`
-	OverSlots        uint64 `json:"over_slots"`
+	Connections     int64 `json:"connections"`
+	PeakConnections int64 `json:"peak_connections"`
+	// OverConnections counts connections opened above the limit; requests on them are refused.
+	OverConnections uint64 `json:"over_connections"`
+	Running         int64  `json:"running"`
+	PeakRunning     int64  `json:"peak_running"`
+	// OverSlots counts requests that arrived while every slot was taken.
+	OverSlots uint64 `json:"over_slots"`
+	// Misrouted counts requests that name another upstream.
+	Misrouted        uint64 `json:"misrouted"`
 	Received         uint64 `json:"received"`
 	Begun            uint64 `json:"begun"`
 	Finished         uint64 `json:"finished"`
@@ -73,9 +78,8 @@
 
 // Server is one upstream. Create it with New and begin with Start.
 type Server struct {
-	cfg      Config
-	listener net.Listener
-	server   *http.Server
+	cfg    Config
+	server *http.Server
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -87,9 +91,7 @@
 	running  map[string]context.CancelFunc
 	writes   map[string]int
 	counts   Counts
-	conns    map[net.Conn]struct{}
-	silent   map[net.Conn]struct{}
-	down     atomic.Bool
+	conns    map[*upstreamConn]struct{}
 }
 
 // New returns an upstream that is not started.
@@ -100,19 +102,21 @@
 	return &Server{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1)), oldest: cfg.Oldest, newest: cfg.Newest, changed: time.Now(),
 		running: make(map[string]context.CancelFunc), writes: make(map[string]int),
-		conns: make(map[net.Conn]struct{}), silent: make(map[net.Conn]struct{}),
+		conns: make(map[*upstreamConn]struct{}),
 	}
 }
 
-// Start listens and serves in the background.
+// Start listens and serves in the background. An upstream that was killed may be started again at the same address.
 func (s *Server) Start() error {
 	listener, err := net.Listen("tcp", s.cfg.Listen)
 	if err != nil {
 		return err
 	}
-	s.listener = listener
+	s.mu.Lock()
+	s.changed = time.Now()
+	s.mu.Unlock()
 	s.cfg.Listen = listener.Addr().String()
-	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 10 * time.Second, ConnState: s.track}
+	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 10 * time.Second, ConnState: s.track, ConnContext: withConn}
 	server := s.server
 	go func() {
 		if err := server.Serve(&costlyListener{Listener: listener, server: s}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -129,10 +133,7 @@
 func (s *Server) ID() string { return s.cfg.ID }
 
 // Kill closes the listener and all connections at once, as the loss of the replica does.
-func (s *Server) Kill() error {
-	s.down.Store(true)
-	return s.server.Close()
-}
+func (s *Server) Kill() error { return s.server.Close() }
 
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(f Faults) {
@@ -144,6 +145,29 @@
 	s.faults, s.changed = f, time.Now()
 }
 
+// Drain refuses new work from now on; other faults stay.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.faults.Draining {
+		s.faults.Draining, s.draining = true, time.Now()
+	}
+}
+
+// Reseed restarts the random draws, so that two runs on one stand-in see the same sequence.
+func (s *Server) Reseed(seed uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.random = rand.New(rand.NewPCG(s.cfg.Seed, seed))
+}
+
+// Writes returns how often each non-idempotent request ran here.
+func (s *Server) Writes() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.writes)
+}
+
 // Publish changes the index versions held.
 func (s *Server) Publish(oldest, newest uint64) {
 	s.mu.Lock()
@@ -156,7 +180,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		s.silent[c] = struct{}{}
+		c.silent.Store(true)
 	}
 }
 
@@ -167,7 +191,11 @@
 	return s.counts
 }
 
-func (s *Server) track(c net.Conn, state http.ConnState) {
+func (s *Server) track(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*upstreamConn)
+	if !ok {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -177,21 +205,26 @@
 		s.counts.PeakConnections = max(s.counts.PeakConnections, s.counts.Connections)
 		if s.cfg.Connections > 0 && s.counts.Connections > int64(s.cfg.Connections) {
 			s.counts.OverConnections++
+			c.over.Store(true)
 		}
 	case http.StateClosed, http.StateHijacked:
 		if _, ok := s.conns[c]; ok {
 			delete(s.conns, c)
-			delete(s.silent, c)
 			s.counts.Connections--
 		}
 	}
 }
 
-func (s *Server) isSilent(c net.Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.silent[c]
-	return ok
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// overLimit reports whether a request came on a connection above the limit.
+func overLimit(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*upstreamConn)
+	return ok && c.over.Load()
 }
 
 // costlyListener delays each new connection by the opening cost.
@@ -206,14 +239,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &upstreamConn{Conn: c, server: l.server, ready: time.Now().Add(time.Duration(l.server.cfg.OpenCostMS) * time.Millisecond)}, nil
+	return &upstreamConn{Conn: c, ready: time.Now().Add(time.Duration(l.server.cfg.OpenCostMS) * time.Millisecond)}, nil
 }
 
 // upstreamConn is served after the opening cost and can be silenced.
 type upstreamConn struct {
 	net.Conn
-	server *Server
-	ready  time.Time
+	ready time.Time
+	// silent is set when the connection carries nothing any more, over when it was opened above the limit.
+	silent, over atomic.Bool
 }
 
 // Read implements net.Conn. Bytes that arrive on a silenced connection are swallowed.
@@ -223,7 +257,7 @@
 	}
 	for {
 		n, err := c.Conn.Read(p)
-		if err != nil || !c.server.isSilent(c) {
+		if err != nil || !c.silent.Load() {
 			return n, err
 		}
 	}
@@ -231,7 +265,7 @@
 
 // Write implements net.Conn. Bytes for a silenced connection are lost.
 func (c *upstreamConn) Write(p []byte) (int, error) {
-	if c.server.isSilent(c) {
+	if c.silent.Load() {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
--- /dev/null
+++ b/test/faultproxy/faultproxy_test.go
@@ -0,0 +1,137 @@
+package faultproxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// patience bounds a wait for an event that is certain to come; silence is how long no byte may come.
+const (
+	patience = 10 * time.Second
+	silence  = 50 * time.Millisecond
+)
+
+// newEcho starts a server that returns what it gets, and a proxy in front of it.
+func newEcho(c *qt.C) *Proxy {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	p, err := Listen("127.0.0.1:0", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { c.Check(p.Close(), qt.IsNil) })
+	return p
+}
+
+func dial(c *qt.C, p *Proxy) net.Conn {
+	conn, err := net.Dial("tcp", p.Address())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// echo sends one byte and waits for it to return.
+func echo(conn net.Conn, wait time.Duration) error {
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return err
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err
+}
+
+// TestSilenceIsForGood guards against a silenced connection that recovers, and against new connections that inherit the
+// silence.
+func TestSilenceIsForGood(t *testing.T) {
+	c := qt.New(t)
+	p := newEcho(c)
+	old := dial(c, p)
+	c.Assert(echo(old, patience), qt.IsNil)
+	p.Silence()
+	c.Check(errors.Is(echo(old, silence), os.ErrDeadlineExceeded), qt.IsTrue)
+	c.Check(echo(dial(c, p), patience), qt.IsNil)
+	c.Check(errors.Is(echo(old, silence), os.ErrDeadlineExceeded), qt.IsTrue)
+}
+
+// TestCutsOneDirection guards against a cut that is reported to the ends or that takes both directions.
+func TestCutsOneDirection(t *testing.T) {
+	c := qt.New(t)
+	p := newEcho(c)
+	conn := dial(c, p)
+	c.Assert(echo(conn, patience), qt.IsNil)
+	p.SetRule(Rule{DropDown: true})
+	c.Check(errors.Is(echo(conn, silence), os.ErrDeadlineExceeded), qt.IsTrue)
+	c.Check(p.Counts().BytesUp, qt.Equals, uint64(2))
+	c.Check(p.Counts().BytesDown, qt.Equals, uint64(1))
+	p.SetRule(Rule{DropUp: true})
+	c.Check(errors.Is(echo(conn, silence), os.ErrDeadlineExceeded), qt.IsTrue)
+	c.Check(p.Counts().BytesUp, qt.Equals, uint64(2))
+	p.SetRule(Rule{})
+	c.Check(echo(conn, patience), qt.IsNil)
+}
+
+// TestReset guards against a reset that ends like a normal close, and against a proxy that accepts in place of a target
+// that has ended.
+func TestReset(t *testing.T) {
+	c := qt.New(t)
+	p := newEcho(c)
+	conn := dial(c, p)
+	c.Assert(echo(conn, patience), qt.IsNil)
+	p.SetRule(Rule{Reset: true})
+	c.Check(errors.Is(echo(conn, patience), syscall.ECONNRESET), qt.IsTrue)
+	p.SetRule(Rule{})
+	c.Assert(p.Refuse(), qt.IsNil)
+	_, err := net.Dial("tcp", p.Address())
+	c.Check(errors.Is(err, syscall.ECONNREFUSED), qt.IsTrue)
+	c.Assert(p.Open(), qt.IsNil)
+	c.Check(echo(dial(c, p), patience), qt.IsNil)
+}
+
+// TestRuleByClient guards against a partition that cuts off clients of other failure domains too.
+func TestRuleByClient(t *testing.T) {
+	c := qt.New(t)
+	p := newEcho(c)
+	cut := netip.MustParseAddr("127.0.9.1")
+	p.SetRuleFunc(func(client netip.Addr) Rule { return Rule{DropUp: client == cut} })
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: cut.AsSlice()}}
+	far, err := dialer.Dial("tcp", p.Address())
+	c.Assert(err, qt.IsNil)
+	defer far.Close()
+	c.Check(errors.Is(echo(far, silence), os.ErrDeadlineExceeded), qt.IsTrue)
+	c.Check(echo(dial(c, p), patience), qt.IsNil)
+}
+
+// TestDelay guards against a delay that is applied to one direction only or that changes the bytes.
+func TestDelay(t *testing.T) {
+	c := qt.New(t)
+	p := newEcho(c)
+	conn := dial(c, p)
+	c.Assert(echo(conn, patience), qt.IsNil)
+	const delay = 20 * time.Millisecond
+	p.SetRule(Rule{Delay: delay})
+	started := time.Now()
+	c.Assert(echo(conn, patience), qt.IsNil)
+	// A lower bound holds on a busy machine too.
+	c.Check(time.Since(started) >= 2*delay, qt.IsTrue)
+}
--- /dev/null
+++ b/test/faultproxy/pair.go
@@ -0,0 +1,162 @@
+package faultproxy
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// pair is one carried connection.
+type pair struct {
+	proxy          *Proxy
+	client, target net.Conn
+	silent         atomic.Bool
+	once           sync.Once
+	// ended is closed when both connections are.
+	ended chan struct{}
+}
+
+// chunk is a piece of a stream with the time at which it may leave.
+type chunk struct {
+	data []byte
+	due  time.Time
+	// half is set for the end of the stream.
+	half bool
+}
+
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// Without lingering, closing sends a reset. A connection that is gone already needs none.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (c *pair) close() {
+	c.once.Do(func() {
+		close(c.ended)
+		_ = c.client.Close()
+		_ = c.target.Close()
+	})
+}
+
+func (c *pair) reset() {
+	c.once.Do(func() {
+		close(c.ended)
+		resetConn(c.client)
+		resetConn(c.target)
+	})
+}
+
+// pump carries one direction until the stream or the pair ends.
+func (c *pair) pump(from, to net.Conn, up bool) {
+	queue := make(chan chunk, queueChunks)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.write(to, queue)
+	}()
+	c.read(from, queue, up)
+	close(queue)
+	<-written
+}
+
+// read queues what arrives. It keeps reading while bytes are swallowed, so that the sender does not notice.
+func (c *pair) read(from net.Conn, queue chan<- chunk, up bool) {
+	buffer := make([]byte, chunkBytes)
+	for {
+		n, err := from.Read(buffer)
+		rule := c.proxy.ruleFor(c.client)
+		if rule.Reset {
+			c.reset()
+			return
+		}
+		if n > 0 && !c.swallows(rule, up) {
+			c.count(up, n)
+			data := append([]byte(nil), buffer[:n]...)
+			if !c.enqueue(queue, chunk{data: data, due: time.Now().Add(rule.Delay)}) {
+				return
+			}
+		}
+		if err != nil {
+			c.endStream(err, rule, queue, up)
+			return
+		}
+	}
+}
+
+// endStream passes the end of a stream on, unless the link carries nothing.
+func (c *pair) endStream(err error, rule Rule, queue chan<- chunk, up bool) {
+	if c.swallows(rule, up) {
+		return
+	}
+	if err != io.EOF {
+		c.reset()
+		return
+	}
+	c.enqueue(queue, chunk{due: time.Now().Add(rule.Delay), half: true})
+}
+
+func (c *pair) enqueue(queue chan<- chunk, k chunk) bool {
+	select {
+	case queue <- k:
+		return true
+	case <-c.ended:
+		return false
+	}
+}
+
+func (c *pair) swallows(rule Rule, up bool) bool {
+	return c.silent.Load() || (up && rule.DropUp) || (!up && rule.DropDown)
+}
+
+func (c *pair) count(up bool, n int) {
+	if up {
+		c.proxy.bytesUp.Add(uint64(n))
+		return
+	}
+	c.proxy.bytesDown.Add(uint64(n))
+}
+
+func (c *pair) write(to net.Conn, queue <-chan chunk) {
+	for k := range queue {
+		if !c.waitUntil(k.due) {
+			return
+		}
+		if c.silent.Load() {
+			continue
+		}
+		if k.half {
+			closeWrite(to)
+			return
+		}
+		if _, err := to.Write(k.data); err != nil {
+			c.reset()
+			return
+		}
+	}
+}
+
+func (c *pair) waitUntil(due time.Time) bool {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.ended:
+		return false
+	}
+}
+
+func closeWrite(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// The other end may be gone already.
+		_ = tcp.CloseWrite()
+	}
+}
