--- a/kernel/kinds/kinds.go
+++ b/kernel/kinds/kinds.go
@@ -185,6 +185,13 @@
 	Finish(ctx context.Context, outcome core.Outcome, answer core.Answer) error
 }
 
+// Metric is one number that a plug-in publishes. Plug-ins provide metrics in the fx value group "metrics".
+type Metric struct {
+	Name string
+	// Value is called when the metrics are read and must not block.
+	Value func() any
+}
+
 // PolicySet is what an engine needs to decide.
 type PolicySet = query.Policies
 
--- a/plugins/metrics/expvar/expvar.go
+++ b/plugins/metrics/expvar/expvar.go
@@ -37,13 +37,18 @@
 
 type params struct {
 	fx.In
-	State *kernel.State
-	Log   *slog.Logger
+	State   *kernel.State
+	Log     *slog.Logger
+	Metrics []kinds.Metric `group:"metrics"`
 }
 
 func serve(lc fx.Lifecycle, p params, settings *Settings) {
 	mux := http.NewServeMux()
 	vars := viewVars(p.State)
+	addRuntimeVars(vars)
+	for _, metric := range p.Metrics {
+		vars.Set(metric.Name, expvar.Func(metric.Value))
+	}
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// A caller that goes away while it reads the metrics is not an error.
--- a/plugins/peer/websocket/link.go
+++ b/plugins/peer/websocket/link.go
@@ -40,11 +40,13 @@
 func (l *link) enqueue(ctx context.Context, frame []byte) error {
 	select {
 	case l.queue <- frame:
+		l.peers.traffic.messagesSent.Add(1)
 		return nil
 	default:
 	}
 	select {
 	case l.queue <- frame:
+		l.peers.traffic.messagesSent.Add(1)
 		return nil
 	case <-l.ended:
 		return core.Errorf(core.CodeUnreachable, "the link to %s failed", l.to)
@@ -92,10 +94,11 @@
 	timeout, cancel := context.WithTimeout(ctx, 2*l.peers.settings.keepalive())
 	defer cancel()
 	header := http.Header{headerKey: []string{l.peers.settings.Key}}
-	c, _, err := websocket.Dial(timeout, "ws://"+l.address+"/v1/peer", &websocket.DialOptions{HTTPHeader: header})
+	c, _, err := websocket.Dial(timeout, "ws://"+l.address+"/v1/peer", &websocket.DialOptions{HTTPClient: l.peers.client, HTTPHeader: header})
 	if err != nil {
 		return nil, err
 	}
+	l.peers.traffic.linksOpened.Add(1)
 	self := l.peers.State.Load().Members.Self
 	first, err := encodeMessage(hello{Name: self.Name, Incarnation: self.Incarnation, Domain: self.Domain, PeerAddress: self.PeerAddress})
 	if err != nil {
@@ -121,6 +124,7 @@
 func (l *link) write(ctx context.Context, c *websocket.Conn, frame []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*l.peers.settings.keepalive())
 	defer cancel()
+	l.peers.traffic.sent(len(frame))
 	return c.Write(ctx, websocket.MessageBinary, frame)
 }
 
@@ -164,7 +168,9 @@
 		if err != nil {
 			return
 		}
+		ps.traffic.received(len(frame))
 		err = ps.decodeFrame(frame, func(h handler, m kinds.Message) {
+			ps.traffic.messagesReceived.Add(1)
 			if first, ok := m.(*hello); ok {
 				from = core.VM{Name: first.Name, Incarnation: first.Incarnation, Domain: first.Domain, PeerAddress: first.PeerAddress}
 				return
--- a/plugins/peer/websocket/websocket.go
+++ b/plugins/peer/websocket/websocket.go
@@ -28,7 +28,10 @@
 			return &Settings{MaxFrameBytes: defaultMaxFrameBytes, QueueLength: defaultQueueLength, KeepaliveMS: defaultKeepaliveMS}
 		},
 		Options: func(s any) fx.Option {
-			return fx.Provide(func(lc fx.Lifecycle, p params) kinds.Peers { return newPeers(lc, p, s.(*Settings)) })
+			return fx.Provide(func(lc fx.Lifecycle, p params) provided {
+				ps := newPeers(lc, p, s.(*Settings))
+				return provided{Peers: ps, Metrics: ps.traffic.metrics()}
+			})
 		},
 	})
 }
@@ -46,6 +49,8 @@
 	Listen string `json:"listen" validate:"required,hostname_port"`
 	// Advertise is the address that other VMs use; empty means Listen.
 	Advertise string `json:"advertise" validate:"omitempty,hostname_port"`
+	// SourceAddress is the IP address that links to other VMs come from; empty leaves the choice to the operating system.
+	SourceAddress string `json:"source_address" validate:"omitempty,ip"`
 	// MaxFrameBytes bounds one frame. Default 8388608.
 	MaxFrameBytes int64 `json:"max_frame_bytes" validate:"gte=1024"`
 	// QueueLength bounds the messages waiting on one link. Default 4096.
@@ -65,6 +70,12 @@
 	Log      *slog.Logger
 }
 
+type provided struct {
+	fx.Out
+	Peers   kinds.Peers
+	Metrics []kinds.Metric `group:"metrics,flatten"`
+}
+
 type handler struct {
 	prototype reflect.Type
 	handle    func(from core.VM, m kinds.Message)
@@ -73,6 +84,8 @@
 type peers struct {
 	params
 	settings *Settings
+	traffic  traffic
+	client   *http.Client
 	handlers map[string]handler
 	linkDown []func(core.VMName)
 	// links is replaced as a whole; senders load it without a lock.
@@ -85,7 +98,7 @@
 }
 
 func newPeers(lc fx.Lifecycle, p params, settings *Settings) *peers {
-	ps := &peers{params: p, settings: settings, handlers: make(map[string]handler)}
+	ps := &peers{params: p, settings: settings, handlers: make(map[string]handler), client: newClient(settings.SourceAddress)}
 	ps.links.Store(&map[core.VMName]*link{})
 	ps.base, ps.cancel = context.WithCancel(context.Background())
 	ps.Handle(hello{}, func(core.VM, kinds.Message) {})
--- a/plugins/platform/http/calls.go
+++ b/plugins/platform/http/calls.go
@@ -32,6 +32,7 @@
 // do makes a call. The error is a *core.Error; for a write it tells whether the write may have taken effect.
 func (c *client) do(ctx context.Context, k call) ([]byte, uint64, error) {
 	if !c.allow() {
+		c.notTried.Add(1)
 		return nil, 0, core.Errorf(core.CodePlatformUnavailable, "too many calls failed in a row")
 	}
 	limited, cancel := context.WithTimeout(ctx, c.timeout+k.wait)
@@ -46,6 +47,7 @@
 	for name, values := range k.header {
 		request.Header[name] = values
 	}
+	c.calls.Add(1)
 	response, err := c.http.Do(request)
 	if err != nil {
 		// A caller that gave up tells nothing about the platform.
--- a/plugins/platform/http/platform.go
+++ b/plugins/platform/http/platform.go
@@ -20,7 +20,10 @@
 		Kind: kinds.PlatformKind, Name: "http",
 		Settings: func() any { return &Settings{TimeoutMS: defaultTimeoutMS} },
 		Options: func(s any) fx.Option {
-			return fx.Provide(func(p params) kinds.Platform { return newClient(p, s.(*Settings)) })
+			return fx.Provide(func(p params) provided {
+				c := newClient(p, s.(*Settings))
+				return provided{Platform: c, Metrics: c.metrics()}
+			})
 		},
 	})
 }
@@ -44,12 +47,20 @@
 	Random *kernel.Random
 }
 
+type provided struct {
+	fx.Out
+	Platform kinds.Platform
+	Metrics  []kinds.Metric `group:"metrics,flatten"`
+}
+
 type client struct {
 	params
 	base        string
 	timeout     time.Duration
 	http        *http.Client
 	lastContact atomic.Int64
+	// calls, failed and notTried count calls that were sent, that failed, and that the circuit held back.
+	calls, failed, notTried atomic.Uint64
 
 	mu      sync.Mutex
 	breaker circuit.Breaker
@@ -84,9 +95,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !ok {
+		c.failed.Add(1)
 		c.breaker.Failure(now, c.random)
 		return
 	}
 	c.breaker.Success()
 	c.lastContact.Store(now.UnixNano())
 }
+
+func (c *client) metrics() []kinds.Metric {
+	return []kinds.Metric{
+		{Name: "platform_calls", Value: func() any { return c.calls.Load() }},
+		{Name: "platform_calls_failed", Value: func() any { return c.failed.Load() }},
+		{Name: "platform_calls_held_back", Value: func() any { return c.notTried.Load() }},
+	}
+}
--- a/standins/upstream/handlers.go
+++ b/standins/upstream/handlers.go
@@ -152,6 +152,9 @@
 func (s *Server) serviceTime() time.Duration {
 	mean := float64(time.Duration(s.cfg.ServiceUS) * time.Microsecond)
 	took := mean * (0.75 + 0.25*s.random.ExpFloat64())
+	if s.faults.SlowFactor > 0 {
+		took *= s.faults.SlowFactor
+	}
 	if s.random.Float64() < s.faults.StragglerShare {
 		took *= s.faults.StragglerFactor
 	}
--- a/standins/upstream/upstream.go
+++ b/standins/upstream/upstream.go
@@ -35,6 +35,8 @@
 	// StragglerShare of the requests take StragglerFactor times longer.
 	StragglerShare  float64 `json:"straggler_share"`
 	StragglerFactor float64 `json:"straggler_factor"`
+	// SlowFactor multiplies the time of every request; 0 means 1.
+	SlowFactor float64 `json:"slow_factor"`
 	// ShedShare of the requests are refused because of load.
 	ShedShare float64 `json:"shed_share"`
 	// ErrorShare of the requests run and end with an error.
