--- a/plugins/metrics/expvar/expvar.go
+++ b/plugins/metrics/expvar/expvar.go
@@ -45,6 +45,7 @@
 func serve(lc fx.Lifecycle, p params, settings *Settings) {
 	mux := http.NewServeMux()
 	vars := viewVars(p.State)
+	addRuntimeVars(vars)
 	for _, metric := range p.Metrics {
 		vars.Set(metric.Name, expvar.Func(metric.Value))
 	}
