Add selection, ejection, hedging and retries, and fix faults of the query machine

The group of a shard was found by a search through all groups, 700 x 700 comparisons for a query over 700 shards; it is now looked up.

Policies: selection/adaptive, hedging/learned, retry/budget with their pure types. not_owner, connect_failed, unreachable and draining cost no upstream anything and are retried at once, at most 3 times a leg, outside the budget.

--- /dev/null
+++ b/coord/hedge/hedge_test.go
@@ -0,0 +1,103 @@
+package hedge_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/coord/hedge"
+	"gooseberrylane.example/core"
+)
+
+const seed = 7
+
+var (
+	now     = time.Unix(1000, 0)
+	service = &core.Service{Name: "svc", Rule: core.Rule{HedgePercent: 2}}
+)
+
+// hedgedShare draws latencies of which one in a hundred is 20 times longer, and returns the share that would be hedged.
+func hedgedShare(p *hedge.Policy, random *rand.Rand, mean time.Duration, n int) float64 {
+	hedged := 0
+	for range n {
+		latency := time.Duration(float64(mean) * (0.75 + 0.25*random.ExpFloat64()))
+		if random.IntN(100) == 0 {
+			latency *= 20
+		}
+		if delay, ok := p.Delay(service, "g"); ok && latency > delay {
+			hedged++
+			p.ObserveCancelled(service, "g", delay+mean)
+			p.ObserveLatency(service, "g", mean)
+			continue
+		}
+		p.ObserveLatency(service, "g", latency)
+	}
+	return float64(hedged) / float64(n)
+}
+
+// TestLearnedDelayFollowsTheLatency guards against a delay that hedges ordinary requests or waits for stragglers after
+// the latency of a group changed, in either direction. The bounds are the operator's share and one in a hundred, the
+// share of stragglers.
+func TestLearnedDelayFollowsTheLatency(t *testing.T) {
+	c := qt.New(t)
+	p := hedge.New(hedge.Defaults())
+	random := rand.New(rand.NewPCG(seed, 1))
+	for _, mean := range []time.Duration{4 * time.Millisecond, 40 * time.Millisecond, 2 * time.Millisecond} {
+		hedgedShare(p, random, mean, 5000)
+		share := hedgedShare(p, random, mean, 50_000)
+		c.Check(share > 0.01 && share <= 0.02, qt.IsTrue, qt.Commentf("seed %d, mean %v: share %v", seed, mean, share))
+	}
+}
+
+// TestSecondRequestsStayWithinTheirShare guards against extra load above the operator's share when every first request
+// is slow.
+func TestSecondRequestsStayWithinTheirShare(t *testing.T) {
+	c := qt.New(t)
+	p := hedge.New(hedge.Defaults())
+	const legs = 100_000
+	hedged := 0
+	for range legs {
+		p.ObserveLeg(now, service)
+		if p.Allow(now, service) {
+			hedged++
+		}
+	}
+	c.Assert(hedged <= legs*2/100+100, qt.IsTrue, qt.Commentf("%d second requests", hedged))
+}
+
+// TestNoDelayBeforeEnoughIsKnown guards against second requests for a group whose latency is not known yet, and for a
+// service whose operator allows none.
+func TestNoDelayBeforeEnoughIsKnown(t *testing.T) {
+	c := qt.New(t)
+	p := hedge.New(hedge.Defaults())
+	p.ObserveLatency(service, "g", time.Millisecond)
+	_, ok := p.Delay(service, "g")
+	c.Assert(ok, qt.IsFalse)
+	off := &core.Service{Name: "off"}
+	for range 100 {
+		p.ObserveLatency(off, "g", time.Millisecond)
+	}
+	_, ok = p.Delay(off, "g")
+	c.Assert(ok, qt.IsFalse)
+}
+
+// TestConcurrentObserversKeepTheEstimateInRange guards against lost updates that throw the estimate away.
+func TestConcurrentObserversKeepTheEstimateInRange(t *testing.T) {
+	c := qt.New(t)
+	var q hedge.Quantile
+	var work sync.WaitGroup
+	for range 8 {
+		work.Go(func() {
+			for i := range 10_000 {
+				q.Observe(0.9, time.Duration(1+i%100)*time.Millisecond)
+			}
+		})
+	}
+	work.Wait()
+	value, ok := q.Value()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(value > 50*time.Millisecond && value < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%v", value))
+}
--- a/coord/query/machine.go
+++ b/coord/query/machine.go
@@ -4,7 +4,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"gooseberrylane.example/core"
@@ -27,13 +26,20 @@
 	Leg  core.Leg
 }
 
+// Reasons of attempts in reports.
+const (
+	reasonFirst = "first"
+	reasonRetry = "retry"
+	reasonHedge = "hedge"
+)
+
 // Config is the fixed input of a machine.
 type Config struct {
 	Query core.Query
 	// Service is the definition in force; it belongs to View.
 	Service *core.Service
 	View    *core.View
-	// Version is the pinned index version; 0 lets the first result decide is not allowed for more than one shard.
+	// Version is the pinned index version, never 0.
 	Version  core.IndexVersion
 	Shards   []core.Shard
 	Policies Policies
@@ -52,24 +58,6 @@
 	report int
 }
 
-type shardState struct {
-	shard    core.Shard
-	group    *core.Group
-	tried    map[core.UpstreamID]int
-	open     int
-	attempts int
-	hedged   bool
-	// sendAt is the time of the next attempt, zero when none is planned.
-	sendAt  time.Time
-	hedgeAt time.Time
-	done    bool
-	covered bool
-	data    []byte
-	reason  core.Code
-	// exclude holds replicas that must not be tried again for this shard.
-	exclude map[core.UpstreamID]bool
-}
-
 // Machine is the state of one query. It is not safe for concurrent use.
 type Machine struct {
 	cfg      Config
@@ -77,36 +65,54 @@
 	cutOff   time.Time
 	shards   []shardState
 	attempts map[core.AttemptID]*attempt
-	left     int
-	reports  []core.AttemptReport
-	actions  []Action
-	unknown  bool
-	ended    bool
+	// firsts holds the first attempts of all shards in one allocation; candidates is reused by each selection.
+	firsts     []attempt
+	candidates []Candidate
+	left       int
+	reports    []core.AttemptReport
+	actions    []Action
+	// outcome is what a non-idempotent request may claim when it has no result.
+	outcome core.Outcome
+	ended   bool
 }
 
 // New returns a machine for one query.
 func New(cfg Config) *Machine {
-	return &Machine{cfg: cfg, attempts: make(map[core.AttemptID]*attempt, len(cfg.Shards))}
+	return &Machine{cfg: cfg, attempts: make(map[core.AttemptID]*attempt, len(cfg.Shards)), outcome: core.OutcomeNotRun}
 }
 
-// Start begins the query and returns the first actions.
+// Start begins the query and returns the first actions. A query whose time is up sends nothing.
 func (m *Machine) Start(now time.Time) []Action {
 	m.started = now
 	m.cutOff = m.cfg.Query.Deadline.Add(-m.cfg.Margin)
 	m.shards = make([]shardState, len(m.cfg.Shards))
+	m.firsts = make([]attempt, len(m.cfg.Shards))
+	m.actions = make([]Action, 0, len(m.cfg.Shards))
 	m.left = len(m.shards)
 	for i, shard := range m.cfg.Shards {
 		state := &m.shards[i]
 		state.shard = shard
-		state.group = m.cfg.Service.Group(shard.Group)
-		state.reason = core.CodeDeadlineExceeded
+		state.group = m.group(shard.Group)
+		state.tried = state.triedSpace[:0]
+		state.open = state.openSpace[:0]
+	}
+	if !now.Before(m.cutOff) {
+		m.giveUpAll(now, core.CodeExpired)
+		return m.flush()
 	}
 	for i := range m.shards {
-		m.send(now, i, "first")
+		m.send(now, i, reasonFirst)
 	}
 	return m.flush()
 }
 
+func (m *Machine) group(name core.GroupName) *core.Group {
+	if group := m.cfg.View.Config.Group(m.cfg.Service.Name, name); group != nil {
+		return group
+	}
+	return m.cfg.Service.Group(name)
+}
+
 // Result handles the result of one attempt. A result of an unknown or finished attempt changes nothing.
 func (m *Machine) Result(now time.Time, result core.LegResult) []Action {
 	a, ok := m.attempts[result.Attempt]
@@ -114,39 +120,50 @@
 		return nil
 	}
 	delete(m.attempts, result.Attempt)
-	m.endReport(now, a, result)
 	state := &m.shards[a.shard]
-	state.open--
+	state.forget(a)
+	m.endReport(now, a, &result)
+	m.cfg.Policies.Selector.ObserveResult(now, m.cfg.View, state.group, a.leg.Upstream, &result)
 	if state.done {
 		return m.flush()
 	}
-	if result.Outcome == core.OutcomeRan && result.Code == core.CodeOK {
-		m.cover(now, a, result)
-		return m.flush()
+	m.check(&result)
+	if result.Code == core.CodeOK {
+		m.cover(now, a, &result)
+	} else {
+		m.fail(now, a, &result)
 	}
-	m.fail(now, a, result)
 	return m.flush()
 }
 
+// check turns results that cannot be used into failures. A request that ran at another index version did run: only
+// its result is useless.
+func (m *Machine) check(result *core.LegResult) {
+	switch {
+	case result.Code == core.CodeOK && result.Outcome != core.OutcomeRan:
+		// A success that did not run contradicts itself and proves nothing.
+		result.Outcome, result.Code = core.OutcomeUnknown, core.CodeUpstreamError
+	case result.Code == core.CodeOK && result.Version != m.cfg.Version:
+		result.Code = core.CodeVersionMissing
+	}
+}
+
 // Wake handles the passing of time. Call it at the time that NextWake returned.
 func (m *Machine) Wake(now time.Time) []Action {
 	if m.ended {
 		return nil
 	}
 	if !now.Before(m.cutOff) {
-		m.giveUpAll(core.CodeDeadlineExceeded)
+		m.giveUpAll(now, core.CodeDeadlineExceeded)
 		return m.flush()
 	}
 	for i := range m.shards {
 		state := &m.shards[i]
-		if state.done {
-			continue
-		}
-		if !state.sendAt.IsZero() && !now.Before(state.sendAt) {
+		if !state.done && isDue(now, state.sendAt) {
 			state.sendAt = time.Time{}
-			m.send(now, i, "retry")
+			m.send(now, i, reasonRetry)
 		}
-		if !state.done && !state.hedgeAt.IsZero() && !now.Before(state.hedgeAt) {
+		if !state.done && isDue(now, state.hedgeAt) {
 			state.hedgeAt = time.Time{}
 			m.hedge(now, i)
 		}
@@ -154,12 +171,14 @@
 	return m.flush()
 }
 
+func isDue(now, at time.Time) bool { return !at.IsZero() && !now.Before(at) }
+
 // Abort ends the query early, for example because the caller went away.
-func (m *Machine) Abort(reason core.Code) []Action {
+func (m *Machine) Abort(now time.Time, reason core.Code) []Action {
 	if m.ended {
 		return nil
 	}
-	m.giveUpAll(reason)
+	m.giveUpAll(now, reason)
 	return m.flush()
 }
 
@@ -184,238 +203,70 @@
 // Done reports whether the answer is final.
 func (m *Machine) Done() bool { return m.left == 0 }
 
-// Answer returns the answer. It is complete once Done is true.
-func (m *Machine) Answer() core.Answer {
-	answer := core.Answer{
-		RequestID: m.cfg.Query.RequestID,
-		Version:   m.cfg.Version,
-		Revision:  m.cfg.View.Config.Revision,
-	}
-	for i := range m.shards {
-		state := &m.shards[i]
-		if state.covered {
-			answer.Covered = append(answer.Covered, core.ShardResult{Shard: state.shard.Name, Data: state.data})
-		} else {
-			answer.Missing = append(answer.Missing, core.MissingShard{Shard: state.shard.Name, Reason: state.reason})
-		}
-	}
-	answer.Code = m.answerCode(&answer)
-	if m.cfg.View.Stale {
-		answer.Notes = append(answer.Notes, core.CodeConfigurationStale)
-	}
-	if m.cfg.Query.Explain {
-		answer.Attempts = slices.Clone(m.reports)
-	}
-	return answer
-}
-
-func (m *Machine) answerCode(answer *core.Answer) core.Code {
-	switch {
-	case len(answer.Missing) == 0:
-		return core.CodeOK
-	case !m.cfg.Query.Idempotent && m.unknown:
-		return core.CodeOutcomeUnknown
-	case !m.cfg.Query.Idempotent:
-		return notRunCode(answer.Missing[0].Reason)
-	default:
-		return core.CodePartial
-	}
-}
-
-// notRunCode keeps a reason that proves that nothing ran, and maps other reasons to CodeNotRun.
-func notRunCode(reason core.Code) core.Code {
-	if reason.IsNotRun() || reason == core.CodeUpstreamError {
-		return reason
-	}
-	return core.CodeNotRun
-}
-
-func (m *Machine) send(now time.Time, index int, reason string) {
-	state := &m.shards[index]
-	upstream := m.choose(now, state)
-	if upstream == nil {
-		m.noReplica(state)
-		return
-	}
-	if reason == "first" {
-		m.cfg.Policies.Hedger.ObserveLeg(now, m.cfg.Service)
-		m.cfg.Policies.Retrier.ObserveLeg(now, m.cfg.Service)
-	}
-	m.dispatch(now, index, upstream, reason)
-	if m.cfg.Query.Idempotent && !state.hedged && state.hedgeAt.IsZero() {
-		if delay, ok := m.cfg.Policies.Hedger.Delay(m.cfg.Service, state.shard.Group); ok {
-			state.hedgeAt = now.Add(delay)
-		}
-	}
+func (m *Machine) cover(now time.Time, a *attempt, result *core.LegResult) {
+	state := &m.shards[a.shard]
+	m.cfg.Policies.Hedger.ObserveLatency(m.cfg.Service, state.shard.Group, now.Sub(a.sent))
+	state.covered = true
+	state.data = result.Data
+	m.finish(state)
+	m.cancelOpen(now, state)
 }
 
-func (m *Machine) hedge(now time.Time, index int) {
-	state := &m.shards[index]
-	if state.open == 0 || state.hedged {
-		return
-	}
-	upstream := m.chooseOther(now, state)
-	if upstream == nil || !m.cfg.Policies.Hedger.Allow(now, m.cfg.Service) {
+// fail decides what follows a failed attempt. A non-idempotent request is sent again only after proof that it did not
+// run.
+func (m *Machine) fail(now time.Time, a *attempt, result *core.LegResult) {
+	state := &m.shards[a.shard]
+	state.note(a.leg.Upstream, result.Code)
+	if !m.cfg.Query.Idempotent && result.Outcome != core.OutcomeNotRun {
+		m.outcome = result.Outcome
+		m.finish(state)
 		return
 	}
-	state.hedged = true
-	m.dispatch(now, index, upstream, "hedge")
-}
-
-func (m *Machine) dispatch(now time.Time, index int, upstream *core.Upstream, reason string) {
-	state := &m.shards[index]
-	query := &m.cfg.Query
-	leg := core.Leg{
-		Attempt: m.cfg.NextAttempt(), Service: query.Service, Request: query.RequestID,
-		Shard: state.shard.Name, Upstream: upstream.ID, Version: m.cfg.Version,
-		NotAfter: m.cutOff, Idempotent: query.Idempotent, Class: m.cfg.Service.Rule.Class,
-		Hedge: reason == "hedge", Payload: query.Payload,
-	}
-	if state.tried == nil {
-		state.tried = make(map[core.UpstreamID]int, 2)
-	}
-	state.tried[upstream.ID]++
-	state.open++
-	state.attempts++
-	a := &attempt{leg: leg, shard: index, reason: reason, sent: now}
-	if query.Explain {
-		a.report = len(m.reports)
-		m.reports = append(m.reports, core.AttemptReport{
-			Shard: state.shard.Name, Upstream: upstream.ID, Reason: reason, Sent: now.Sub(m.started),
-		})
-	}
-	m.attempts[leg.Attempt] = a
-	m.actions = append(m.actions, Action{Kind: ActionSend, Leg: leg})
-}
-
-func (m *Machine) choose(now time.Time, state *shardState) *core.Upstream {
-	return m.selectFrom(now, state, func(id core.UpstreamID) bool { return !state.exclude[id] })
-}
-
-// chooseOther chooses among replicas that the sub-request has not tried yet.
-func (m *Machine) chooseOther(now time.Time, state *shardState) *core.Upstream {
-	return m.selectFrom(now, state, func(id core.UpstreamID) bool { return !state.exclude[id] && state.tried[id] == 0 })
-}
-
-func (m *Machine) selectFrom(now time.Time, state *shardState, allowed func(core.UpstreamID) bool) *core.Upstream {
-	if state.group == nil {
-		return nil
-	}
-	candidates := make([]Candidate, 0, len(state.group.Upstreams))
-	for i := range state.group.Upstreams {
-		upstream := &state.group.Upstreams[i]
-		observed := m.cfg.View.State(upstream.ID)
-		if !m.mayUse(upstream, observed) || !allowed(upstream.ID) {
-			continue
-		}
-		candidates = append(candidates, Candidate{
-			Upstream: upstream, State: observed,
-			Local: upstream.Domain == m.cfg.View.Members.Self.Domain, Tried: state.tried[upstream.ID],
-		})
-	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	chosen := m.cfg.Policies.Selector.Select(now, m.cfg.Random, candidates)
-	if chosen < 0 {
-		return nil
-	}
-	return candidates[chosen].Upstream
-}
-
-// mayUse applies what no policy may override: draining replicas get no new work, and rules bound the reach.
-func (m *Machine) mayUse(upstream *core.Upstream, observed *core.UpstreamState) bool {
-	if upstream.Draining || observed == nil || observed.DrainSince.Load() != 0 {
-		return false
-	}
-	domains := m.cfg.Service.Rule.Domains
-	return len(domains) == 0 || slices.Contains(domains, upstream.Domain)
-}
-
-func (m *Machine) noReplica(state *shardState) {
-	if state.open > 0 {
+	if len(state.open) > 0 {
+		m.hedgeAgain(now, a, result)
 		return
 	}
-	if state.attempts == 0 {
-		state.reason = m.noReplicaReason(state)
-	}
-	m.finish(state)
+	state.hedgeAt = time.Time{}
+	m.planRetry(now, a, result)
 }
 
-func (m *Machine) noReplicaReason(state *shardState) core.Code {
-	if state.group == nil || len(state.group.Upstreams) == 0 || len(m.cfg.Service.Rule.Domains) == 0 {
-		return core.CodeNoReplica
-	}
-	for i := range state.group.Upstreams {
-		if slices.Contains(m.cfg.Service.Rule.Domains, state.group.Upstreams[i].Domain) {
-			return core.CodeNoReplica
-		}
-	}
-	return core.CodeOutOfReach
-}
-
-func (m *Machine) cover(now time.Time, a *attempt, result core.LegResult) {
+// hedgeAgain plans another second request after one that was refused before it ran.
+func (m *Machine) hedgeAgain(now time.Time, a *attempt, result *core.LegResult) {
 	state := &m.shards[a.shard]
-	if result.Version != m.cfg.Version {
-		m.fail(now, a, core.LegResult{Attempt: result.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeVersionMissing})
+	if !state.hedged || result.Outcome != core.OutcomeNotRun {
 		return
 	}
-	m.cfg.Policies.Hedger.ObserveLatency(m.cfg.Service, state.shard.Group, now.Sub(a.sent))
-	state.covered = true
-	state.data = result.Data
-	m.finish(state)
-	m.cancelOpen(a.shard)
+	state.hedged = false
+	m.planHedge(now, state)
 }
 
-// fail decides what follows a failed attempt. A non-idempotent request is sent again only after proof that it did not
-// run.
-func (m *Machine) fail(now time.Time, a *attempt, result core.LegResult) {
+func (m *Machine) planRetry(now time.Time, a *attempt, result *core.LegResult) {
 	state := &m.shards[a.shard]
-	state.reason = result.Code
-	if state.exclude == nil {
-		state.exclude = make(map[core.UpstreamID]bool, 2)
-	}
-	if excludes(result.Code) {
-		state.exclude[a.leg.Upstream] = true
+	state.sendTo, state.sendVia = "", ""
+	if result.Code == core.CodeNotOwner && result.Owner != "" && result.Owner != a.leg.Via {
+		state.sendTo, state.sendVia = a.leg.Upstream, result.Owner
 	}
-	if !m.cfg.Query.Idempotent && result.Outcome != core.OutcomeNotRun {
-		m.unknown = result.Outcome == core.OutcomeUnknown
+	// A retry that cannot be sent must not use up the budget.
+	if result.Code == core.CodeExpired || !now.Before(m.cutOff) || len(m.usable(state, false)) == 0 {
 		m.finish(state)
 		return
 	}
-	if state.open > 0 || !state.sendAt.IsZero() {
-		return
-	}
-	delay, ok := m.retryDelay(now, state, result)
+	failure := Failure{Code: result.Code, Attempts: state.attempts, Free: state.free, Left: m.cutOff.Sub(now)}
+	delay, free, ok := m.cfg.Policies.Retrier.Allow(now, m.cfg.Random, m.cfg.Service, failure)
 	if !ok || !now.Add(delay).Before(m.cutOff) {
 		m.finish(state)
 		return
 	}
+	if free {
+		state.free++
+	}
 	if delay <= 0 {
-		m.send(now, a.shard, "retry")
+		m.send(now, a.shard, reasonRetry)
 		return
 	}
 	state.sendAt = now.Add(delay)
 }
 
-func (m *Machine) retryDelay(now time.Time, state *shardState, result core.LegResult) (time.Duration, bool) {
-	if result.Code == core.CodeCancelled || result.Code == core.CodeExpired {
-		return 0, false
-	}
-	return m.cfg.Policies.Retrier.Allow(now, m.cfg.Random, m.cfg.Service, state.attempts)
-}
-
-// excludes reports whether a replica that failed with the code must not be tried again for the same sub-request: it
-// would refuse again, or the refusal asks to go elsewhere.
-func excludes(code core.Code) bool {
-	switch code {
-	case core.CodeShed, core.CodeOverloaded, core.CodeVersionMissing, core.CodeDraining, core.CodeUnreachable:
-		return true
-	default:
-		return false
-	}
-}
-
 func (m *Machine) finish(state *shardState) {
 	if state.done {
 		return
@@ -425,42 +276,32 @@
 	m.left--
 }
 
-func (m *Machine) cancelOpen(shard int) {
-	if m.shards[shard].open == 0 {
-		return
-	}
-	for _, a := range m.attempts {
-		if a.shard == shard {
-			m.actions = append(m.actions, Action{Kind: ActionCancel, Leg: a.leg})
-		}
+// cancelOpen cancels the attempts of a finished shard. Their results are still accepted, and ignored.
+func (m *Machine) cancelOpen(now time.Time, state *shardState) {
+	for _, a := range state.open {
+		m.cfg.Policies.Hedger.ObserveCancelled(m.cfg.Service, state.shard.Group, now.Sub(a.sent))
+		m.actions = append(m.actions, Action{Kind: ActionCancel, Leg: a.leg})
 	}
 }
 
-func (m *Machine) giveUpAll(reason core.Code) {
+func (m *Machine) giveUpAll(now time.Time, reason core.Code) {
 	for i := range m.shards {
 		state := &m.shards[i]
 		if state.done {
 			continue
 		}
-		if state.open > 0 {
+		if len(state.open) > 0 || state.reason == 0 || reason == core.CodeCancelled {
 			state.reason = reason
-			m.unknown = m.unknown || !m.cfg.Query.Idempotent
+		}
+		if len(state.open) > 0 {
+			m.outcome = core.OutcomeUnknown
 		}
 		m.finish(state)
-		m.cancelOpen(i)
+		m.cancelOpen(now, state)
 	}
 	m.ended = true
 }
 
-func (m *Machine) endReport(now time.Time, a *attempt, result core.LegResult) {
-	if !m.cfg.Query.Explain {
-		return
-	}
-	report := &m.reports[a.report]
-	report.Ended = now.Sub(m.started)
-	report.Code, report.Outcome = result.Code, result.Outcome
-}
-
 func (m *Machine) flush() []Action {
 	actions := m.actions
 	m.actions = nil
--- a/coord/query/policy.go
+++ b/coord/query/policy.go
@@ -21,6 +21,8 @@
 type Selector interface {
 	// Select returns the index of the chosen candidate, or -1 when none may get work. Candidates are never empty.
 	Select(now time.Time, random *rand.Rand, candidates []Candidate) int
+	// ObserveResult learns from the result of an attempt at an upstream of a group. view holds the states of the group.
+	ObserveResult(now time.Time, view *core.View, group *core.Group, upstream core.UpstreamID, result *core.LegResult)
 }
 
 // Hedger decides on second requests. Implementations are safe for concurrent use and do not block.
@@ -34,12 +36,25 @@
 	ObserveLeg(now time.Time, service *core.Service)
 	// ObserveLatency learns from a finished attempt.
 	ObserveLatency(service *core.Service, group core.GroupName, took time.Duration)
+	// ObserveCancelled learns from an attempt that was cancelled after a time without a result.
+	ObserveCancelled(service *core.Service, group core.GroupName, after time.Duration)
+}
+
+// Failure describes a failed attempt to a Retrier.
+type Failure struct {
+	Code core.Code
+	// Attempts is the number of attempts of the sub-request so far, from 1. Free is how many of them were followed by a
+	// retry that cost no upstream anything.
+	Attempts, Free int
+	// Left is the time until the query gives up.
+	Left time.Duration
 }
 
 // Retrier decides on retries. Implementations are safe for concurrent use and do not block.
 type Retrier interface {
-	// Allow spends one retry from the budget and returns the delay before it, or false. attempt counts from 1.
-	Allow(now time.Time, random *rand.Rand, service *core.Service, attempt int) (time.Duration, bool)
+	// Allow returns the delay before a retry, which is shorter than the time left, or false. It spends one retry from
+	// the budget unless the failure cost no upstream anything; free tells that it did not.
+	Allow(now time.Time, random *rand.Rand, service *core.Service, failure Failure) (delay time.Duration, free, ok bool)
 	// ObserveLeg counts one first attempt towards the budget.
 	ObserveLeg(now time.Time, service *core.Service)
 }
--- /dev/null
+++ b/coord/retry/retry_test.go
@@ -0,0 +1,83 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/coord/query"
+	"gooseberrylane.example/coord/retry"
+	"gooseberrylane.example/core"
+)
+
+const seed = 7
+
+var (
+	now     = time.Unix(1000, 0)
+	service = &core.Service{Name: "svc", Rule: core.Rule{RetryPercent: 10}}
+)
+
+// TestRetriesStayWithinTheirShare guards against retries that multiply the load of a service in trouble.
+func TestRetriesStayWithinTheirShare(t *testing.T) {
+	c := qt.New(t)
+	p := retry.New(retry.Defaults())
+	random := rand.New(rand.NewPCG(seed, 1))
+	const legs = 100_000
+	retries := 0
+	for range legs {
+		p.ObserveLeg(now, service)
+		if _, _, ok := p.Allow(now, random, service, query.Failure{Code: core.CodeShed, Attempts: 1, Left: time.Second}); ok {
+			retries++
+		}
+	}
+	// The share is the operator's; the burst of 500 is a constant beside it.
+	c.Assert(retries <= legs/10+500, qt.IsTrue, qt.Commentf("seed %d: %d retries", seed, retries))
+	c.Assert(retries >= legs/10, qt.IsTrue, qt.Commentf("seed %d: %d retries", seed, retries))
+}
+
+// TestFreeRetriesAreBoundedAndKeepTheBudget guards against a loop between VMs that both disown an upstream, and against
+// a change of owners that uses up the retries meant for upstreams.
+func TestFreeRetriesAreBoundedAndKeepTheBudget(t *testing.T) {
+	c := qt.New(t)
+	p := retry.New(retry.Defaults())
+	random := rand.New(rand.NewPCG(seed, 1))
+	for _, code := range []core.Code{core.CodeNotOwner, core.CodeConnectFailed} {
+		for range 10_000 {
+			delay, free, ok := p.Allow(now, random, service, query.Failure{Code: code, Attempts: 1, Left: time.Second})
+			c.Assert(ok && free, qt.IsTrue)
+			c.Assert(delay, qt.Equals, time.Duration(0))
+		}
+	}
+	f := query.Failure{Code: core.CodeNotOwner, Left: time.Second}
+	for allowed := true; allowed; {
+		f.Attempts++
+		_, free, ok := p.Allow(now, random, service, f)
+		if free {
+			f.Free++
+		}
+		allowed = ok
+	}
+	settings := retry.Defaults()
+	c.Assert(f.Attempts <= settings.MaxAttempts+settings.MaxFree, qt.IsTrue)
+}
+
+// TestDelayFitsTheDeadlineAndIsJittered guards against retries after the answer was due and against retries of many
+// queries at the same moment.
+func TestDelayFitsTheDeadlineAndIsJittered(t *testing.T) {
+	c := qt.New(t)
+	p := retry.New(retry.Defaults())
+	random := rand.New(rand.NewPCG(seed, 1))
+	seen := make(map[time.Duration]bool)
+	for range 40 {
+		f := query.Failure{Code: core.CodeConnectionLost, Attempts: 3, Left: 5 * time.Millisecond}
+		if delay, _, ok := p.Allow(now, random, service, f); ok {
+			c.Assert(delay < f.Left, qt.IsTrue)
+			seen[delay] = true
+		}
+	}
+	c.Assert(len(seen) > 1, qt.IsTrue, qt.Commentf("seed %d", seed))
+	_, _, ok := p.Allow(now, random, service, query.Failure{Code: core.CodeNotOwner, Attempts: 1})
+	c.Assert(ok, qt.IsFalse)
+}
--- /dev/null
+++ b/coord/selection/selection.go
@@ -0,0 +1,178 @@
+// Package selection chooses the replica for an attempt from the VM's own observations.
+package selection
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gooseberrylane.example/coord/eject"
+	"gooseberrylane.example/coord/query"
+	"gooseberrylane.example/core"
+)
+
+// Settings of a Policy.
+type Settings struct {
+	// SpillFactor is how many times worse the best replica of the own failure domain may be expected to answer than a
+	// remote one before work spills over. Default 2.
+	SpillFactor float64 `json:"spill_factor" validate:"gte=1,lte=100"`
+	// RemoteMS is added to the expected latency of a replica in another failure domain, in milliseconds. Default 3.
+	RemoteMS float64 `json:"remote_ms" validate:"gte=0,lte=1000"`
+	// SlowStartMS is the time over which a cold upstream comes to its full share, in milliseconds. Default 10000.
+	SlowStartMS int64 `json:"slow_start_ms" validate:"gte=0,lte=600000"`
+	// ShedMemoryMS is how long a refusal because of load counts against a replica, in milliseconds. Default 100.
+	ShedMemoryMS int64 `json:"shed_memory_ms" validate:"gte=0,lte=60000"`
+	// RefreshMS is the time after which a replica that got no work is tried once, so that what is known of it does not
+	// stay out of date, in milliseconds. Default 1000.
+	RefreshMS int64 `json:"refresh_ms" validate:"gte=10,lte=600000"`
+	// Ejection takes replicas out that perform much worse than their group.
+	Ejection eject.Settings `json:"ejection"`
+}
+
+// Defaults returns the default settings.
+func Defaults() Settings {
+	return Settings{
+		SpillFactor: 2, RemoteMS: 3, SlowStartMS: 10_000, ShedMemoryMS: 100, RefreshMS: 1000, Ejection: eject.Defaults(),
+	}
+}
+
+const (
+	// startShare is the share of a cold upstream's work at the begin of its slow start.
+	startShare = 0.1
+	// shedPenalty multiplies the expected latency of a replica that refused work because of load a moment ago.
+	shedPenalty = 4
+	// assumedLatency is used for replicas of which no latency is known.
+	assumedLatency = float64(time.Millisecond)
+)
+
+// Policy implements query.Selector. It keeps its state in the observed states of the upstreams and is safe for
+// concurrent use.
+type Policy struct {
+	settings Settings
+	ejection *eject.Policy
+}
+
+// New returns a policy.
+func New(settings Settings) *Policy {
+	return &Policy{settings: settings, ejection: eject.New(settings.Ejection)}
+}
+
+// ObserveResult implements query.Selector.
+func (p *Policy) ObserveResult(now time.Time, view *core.View, group *core.Group, id core.UpstreamID, result *core.LegResult) {
+	p.ejection.Observe(now, view, group, id, result.Code)
+}
+
+// Select implements query.Selector. Replicas are narrowed down in steps, each of which is skipped when nothing would be
+// left: least tried, not ejected, not held back by slow start. Then the own failure domain is used unless a remote
+// replica is expected to be much faster.
+func (p *Policy) Select(now time.Time, random *rand.Rand, candidates []query.Candidate) int {
+	all := index{n: 0}
+	for i := range candidates {
+		all.add(i)
+	}
+	usable := all.keep(leastTried(candidates))
+	usable = usable.keep(func(i int) bool { return !eject.IsEjected(now, candidates[i].State) })
+	chosen := p.refresh(now, candidates, &usable)
+	if chosen < 0 {
+		usable = usable.keep(func(i int) bool { return p.admits(now, random, candidates[i].State) })
+		chosen = p.best(now, random, candidates, &usable)
+	}
+	state := candidates[chosen].State
+	state.LastChosen.Store(now.UnixNano())
+	if state.FirstUsed.Load() == 0 {
+		state.FirstUsed.CompareAndSwap(0, now.UnixNano())
+	}
+	return chosen
+}
+
+func leastTried(candidates []query.Candidate) func(int) bool {
+	least := candidates[0].Tried
+	for i := range candidates {
+		least = min(least, candidates[i].Tried)
+	}
+	return func(i int) bool { return candidates[i].Tried == least }
+}
+
+// refresh returns a local replica that got no work for a while, or -1. The compare-and-swap lets one request do it.
+// Remote replicas are left out: at thousands of VMs, refreshing all of them would be a load of its own.
+func (p *Policy) refresh(now time.Time, candidates []query.Candidate, usable *index) int {
+	limit := now.Add(-time.Duration(p.settings.RefreshMS) * time.Millisecond).UnixNano()
+	for _, i := range usable.list() {
+		last := candidates[i].State.LastChosen.Load()
+		if candidates[i].Local && last != 0 && last < limit && candidates[i].State.LastChosen.CompareAndSwap(last, now.UnixNano()) {
+			return i
+		}
+	}
+	return -1
+}
+
+// admits lets a growing share of requests through to a replica that was used for the first time not long ago.
+func (p *Policy) admits(now time.Time, random *rand.Rand, state *core.UpstreamState) bool {
+	length := time.Duration(p.settings.SlowStartMS) * time.Millisecond
+	first := state.FirstUsed.Load()
+	age := time.Duration(0)
+	if first != 0 {
+		age = now.Sub(time.Unix(0, first))
+	}
+	if age >= length {
+		return true
+	}
+	share := startShare + (1-startShare)*float64(max(age, 0))/float64(length)
+	return random.Float64() < share
+}
+
+func (p *Policy) best(now time.Time, random *rand.Rand, candidates []query.Candidate, usable *index) int {
+	local := index{}
+	remote := index{}
+	for _, i := range usable.list() {
+		if candidates[i].Local {
+			local.add(i)
+		} else {
+			remote.add(i)
+		}
+	}
+	near, far := p.twoChoices(now, random, candidates, &local), p.twoChoices(now, random, candidates, &remote)
+	if near < 0 || far < 0 {
+		return max(near, far)
+	}
+	if p.score(now, &candidates[near]) > p.settings.SpillFactor*p.score(now, &candidates[far]) {
+		return far
+	}
+	return near
+}
+
+// twoChoices draws two replicas at random and returns the better one, so that VMs with the same view do not all go to
+// the same replica. It returns -1 when there is none.
+func (p *Policy) twoChoices(now time.Time, random *rand.Rand, candidates []query.Candidate, from *index) int {
+	switch from.n {
+	case 0:
+		return -1
+	case 1:
+		return from.list()[0]
+	}
+	first := random.IntN(from.n)
+	second := random.IntN(from.n - 1)
+	if second >= first {
+		second++
+	}
+	a, b := from.list()[first], from.list()[second]
+	if p.score(now, &candidates[b]) < p.score(now, &candidates[a]) {
+		return b
+	}
+	return a
+}
+
+// score is the expected time to a result.
+func (p *Policy) score(now time.Time, c *query.Candidate) float64 {
+	latency := float64(c.State.Latency())
+	if latency == 0 {
+		latency = assumedLatency
+	}
+	score := latency * (1 + float64(max(c.State.InFlight.Load(), 0))/float64(max(c.Upstream.Slots, 1)))
+	if shed := c.State.LastShed.Load(); shed != 0 && now.Sub(time.Unix(0, shed)) < time.Duration(p.settings.ShedMemoryMS)*time.Millisecond {
+		score *= shedPenalty
+	}
+	if !c.Local {
+		score += p.settings.RemoteMS * float64(time.Millisecond)
+	}
+	return score
+}
--- a/core/code.go
+++ b/core/code.go
@@ -74,7 +74,7 @@
 	{CodeDeadlineExceeded, "deadline_exceeded", "No result arrived before the deadline."},
 	{CodeUnreachable, "unreachable", "No VM that can reach the shard answered."},
 	{CodeVersionMissing, "version_missing", "No replica of the shard holds the index version of the answer."},
-	{CodeShed, "shed", "Every replica of the shard that was tried refused the work because of load."},
+	{CodeShed, "shed", "Replicas of the shard refused the work because of load; none that was tried failed in another way."},
 	{CodeUpstreamError, "upstream_error", "The upstream answered with an error."},
 	{CodeNoReplica, "no_replica", "The shard has no replica that takes work."},
 	{CodeCancelled, "cancelled", "The caller went away or the attempt was cancelled."},
--- a/core/config.go
+++ b/core/config.go
@@ -30,6 +30,8 @@
 	Services map[ServiceName]*Service `json:"services"`
 	// upstreams maps each upstream to its definition; built by Index.
 	upstreams map[UpstreamID]*Upstream
+	// groups finds a group without a search through all groups of a service.
+	groups map[ServiceName]map[GroupName]*Group
 }
 
 // Service is a set of shards that callers query under one name.
@@ -115,8 +117,12 @@
 // Index builds the lookup tables of the set and returns the set. Call it once before the set is published.
 func (c *ConfigSet) Index() *ConfigSet {
 	c.upstreams = make(map[UpstreamID]*Upstream)
-	for _, service := range c.Services {
+	c.groups = make(map[ServiceName]map[GroupName]*Group, len(c.Services))
+	for name, service := range c.Services {
+		groups := make(map[GroupName]*Group, len(service.Groups))
+		c.groups[name] = groups
 		for g := range service.Groups {
+			groups[service.Groups[g].Name] = &service.Groups[g]
 			for u := range service.Groups[g].Upstreams {
 				upstream := &service.Groups[g].Upstreams[u]
 				c.upstreams[upstream.ID] = upstream
@@ -142,6 +148,14 @@
 	return c.upstreams
 }
 
+// Group returns the group of a service of the set, or nil. Unlike Service.Group it takes constant time.
+func (c *ConfigSet) Group(service ServiceName, name GroupName) *Group {
+	if c == nil {
+		return nil
+	}
+	return c.groups[service][name]
+}
+
 // Group returns the group with the given name, or nil.
 func (s *Service) Group(name GroupName) *Group {
 	for i := range s.Groups {
--- a/core/query.go
+++ b/core/query.go
@@ -43,8 +43,12 @@
 	NotAfter   time.Time
 	Idempotent bool
 	Class      Class
-	Hedge      bool
-	Payload    []byte
+	// Caller shares the queue of the upstream fairly with other callers.
+	Caller CallerName
+	// Via is the VM to send the leg to; empty for the believed owner of the upstream.
+	Via     VMName
+	Hedge   bool
+	Payload []byte
 }
 
 // Outcome tells whether an attempt ran at the upstream.
@@ -83,8 +87,11 @@
 	Draining bool
 	// Owner is the VM that the answering VM believes to own the upstream, with CodeNotOwner.
 	Owner VMName
-	// Took is the time from send to result as the owner VM saw it.
+	// Took is the time from arrival at the owner VM to the result, the wait for a slot included.
 	Took time.Duration
+	// Stopped is set with OutcomeUnknown when the upstream confirmed that the attempt is not running any more. It stays
+	// on the owner VM.
+	Stopped bool
 }
 
 // Answer is what a caller gets.
--- a/core/view.go
+++ b/core/view.go
@@ -92,8 +92,12 @@
 	DrainSince atomic.Int64
 	// EjectedUntil is the Unix time in nanoseconds until which the upstream gets no new work.
 	EjectedUntil atomic.Int64
-	latency      atomic.Uint64
-	window       atomic.Pointer[Window]
+	// FailuresInRow counts failed attempts since the last success; Ejections counts ejections since the last stable time.
+	FailuresInRow, Ejections atomic.Int64
+	// LastChosen and LastShed are Unix times in nanoseconds of the last attempt and the last refusal because of load.
+	LastChosen, LastShed atomic.Int64
+	latency              atomic.Uint64
+	window               atomic.Pointer[Window]
 }
 
 // Latency returns the moving average of the latency, 0 when nothing was observed.
@@ -119,6 +123,9 @@
 	}
 }
 
+// ResetLatency forgets the moving average, so that it is learned anew.
+func (s *UpstreamState) ResetLatency() { s.latency.Store(0) }
+
 // Window returns the last known range of index versions.
 func (s *UpstreamState) Window() Window {
 	if w := s.window.Load(); w != nil {
@@ -127,12 +134,12 @@
 	return Window{}
 }
 
-// SetWindow stores the range of index versions; a range with a lower newest version is ignored, because results
-// arrive out of order.
+// SetWindow stores the range of index versions; a range that ends or begins lower is ignored, because results arrive
+// out of order.
 func (s *UpstreamState) SetWindow(w Window) {
 	for {
 		old := s.window.Load()
-		if w.Newest == 0 || (old != nil && (old.Newest > w.Newest || *old == w)) {
+		if w.Newest == 0 || (old != nil && !w.isAfter(*old)) {
 			return
 		}
 		if s.window.CompareAndSwap(old, &w) {
@@ -141,6 +148,23 @@
 	}
 }
 
+// isAfter reports whether an upstream that published old can have published w later.
+func (w Window) isAfter(old Window) bool {
+	return w.Newest > old.Newest || (w.Newest == old.Newest && w.Oldest > old.Oldest)
+}
+
+// SetMissing stores the range of an upstream that said that it lacks a version. It replaces a range that claims the
+// version, because an upstream that was restarted can hold older versions than before.
+func (s *UpstreamState) SetMissing(version IndexVersion, w Window) {
+	old := s.window.Load()
+	if w.Newest == 0 || w.Holds(version) || old == nil || !old.Holds(version) {
+		s.SetWindow(w)
+		return
+	}
+	// A range that another result stored meanwhile is as good as this one.
+	s.window.CompareAndSwap(old, &w)
+}
+
 // View is everything a request needs to know, read once through one atomic pointer. It is immutable but for the
 // atomics behind Upstreams.
 type View struct {
--- a/plugins/dispatch/owner/messages.go
+++ b/plugins/dispatch/owner/messages.go
@@ -15,6 +15,7 @@
 	NotAfterUS int64
 	Idempotent bool
 	Class      core.Class
+	Caller     core.CallerName
 	Payload    []byte
 	From       core.VMName
 	Started    core.Incarnation
@@ -71,7 +72,7 @@
 	first := &legs[0]
 	m := legsMessage{
 		Service: first.Service, Request: first.Request, Version: first.Version, NotAfterUS: first.NotAfter.UnixMicro(),
-		Idempotent: first.Idempotent, Class: first.Class, Payload: first.Payload,
+		Idempotent: first.Idempotent, Class: first.Class, Caller: first.Caller, Payload: first.Payload,
 		From: first.Attempt.VM, Started: first.Attempt.Incarnation, Legs: make([]wireLeg, len(legs)),
 	}
 	for i := range legs {
@@ -84,7 +85,8 @@
 	return core.Leg{
 		Attempt: core.AttemptID{VM: m.From, Incarnation: m.Started, Sequence: m.Legs[i].Sequence},
 		Service: m.Service, Request: m.Request, Shard: m.Legs[i].Shard, Upstream: m.Legs[i].Upstream, Version: m.Version,
-		NotAfter: time.UnixMicro(m.NotAfterUS), Idempotent: m.Idempotent, Class: m.Class, Hedge: m.Legs[i].Hedge, Payload: m.Payload,
+		NotAfter: time.UnixMicro(m.NotAfterUS), Idempotent: m.Idempotent, Class: m.Class, Caller: m.Caller,
+		Hedge: m.Legs[i].Hedge, Payload: m.Payload,
 	}
 }
 
--- a/plugins/dispatch/owner/owner.go
+++ b/plugins/dispatch/owner/owner.go
@@ -85,7 +85,10 @@
 	ownership := d.State.Load().Ownership
 	remote := make(map[core.VMName][]core.Leg)
 	for _, leg := range legs {
-		owner := ownership.Owner[leg.Upstream]
+		owner := leg.Via
+		if owner == "" {
+			owner = ownership.Owner[leg.Upstream]
+		}
 		switch owner {
 		case d.Identity.VM:
 			d.runLocal(ctx, leg, deliver)
--- a/plugins/engine/standard/run.go
+++ b/plugins/engine/standard/run.go
@@ -13,6 +13,7 @@
 type run struct {
 	engine  *engine
 	view    *core.View
+	version core.IndexVersion
 	machine *query.Machine
 	results chan core.LegResult
 	// sent holds the upstream of each attempt that has no result yet.
@@ -21,7 +22,7 @@
 
 func newRun(e *engine, view *core.View, service *core.Service, shards []core.Shard, q *core.Query, version core.IndexVersion) *run {
 	return &run{
-		engine: e, view: view,
+		engine: e, view: view, version: version,
 		machine: query.New(query.Config{
 			Query: *q, Service: service, View: view, Version: version, Shards: shards,
 			Policies: query.Policies{Selector: e.Selector, Hedger: e.Hedger, Retrier: e.Retrier},
@@ -48,7 +49,7 @@
 		case <-timer.C:
 			r.perform(ctx, r.machine.Wake(r.engine.Clock.Now()))
 		case <-ctx.Done():
-			r.perform(ctx, r.machine.Abort(abortReason(ctx)))
+			r.perform(ctx, r.machine.Abort(r.engine.Clock.Now(), abortReason(ctx)))
 		}
 		timer.Reset(r.machine.NextWake().Sub(r.engine.Clock.Now()))
 	}
@@ -108,7 +109,11 @@
 		return
 	}
 	state.InFlight.Add(-1)
-	state.SetWindow(result.Window)
+	if result.Code == core.CodeVersionMissing {
+		state.SetMissing(r.version, result.Window)
+	} else {
+		state.SetWindow(result.Window)
+	}
 	if result.Draining {
 		state.DrainSince.CompareAndSwap(0, r.engine.Clock.Now().UnixNano())
 	}
@@ -117,6 +122,9 @@
 		state.ObserveLatency(result.Took)
 	case result.Code == core.CodeShed || result.Code == core.CodeOverloaded:
 		state.Shed.Add(1)
+		state.LastShed.Store(r.engine.Clock.Now().UnixNano())
+	case result.Code == core.CodeVersionMissing || result.Code == core.CodeDraining:
+		// A refusal with a reason of the upstream's own is no failure.
 	case result.Code != core.CodeCancelled:
 		state.Failed.Add(1)
 	}
--- a/plugins/executor/slots/slots.go
+++ b/plugins/executor/slots/slots.go
@@ -178,11 +178,19 @@
 	}
 	result := t.execute(ctx, e.Clock, leg)
 	if state := e.State.Load().State(leg.Upstream); state != nil {
-		state.SetWindow(result.Window)
+		observeWindow(state, &leg, &result)
 	}
 	return result
 }
 
+func observeWindow(state *core.UpstreamState, leg *core.Leg, result *core.LegResult) {
+	if result.Code == core.CodeVersionMissing {
+		state.SetMissing(leg.Version, result.Window)
+		return
+	}
+	state.SetWindow(result.Window)
+}
+
 func (e *executor) notOwner(leg core.Leg) core.LegResult {
 	view := e.State.Load()
 	return core.LegResult{
--- a/plugins/hedging/none/none.go
+++ b/plugins/hedging/none/none.go
@@ -32,3 +32,6 @@
 
 // ObserveLatency implements query.Hedger.
 func (hedger) ObserveLatency(*core.Service, core.GroupName, time.Duration) {}
+
+// ObserveCancelled implements query.Hedger.
+func (hedger) ObserveCancelled(*core.Service, core.GroupName, time.Duration) {}
--- a/plugins/retry/none/none.go
+++ b/plugins/retry/none/none.go
@@ -23,8 +23,8 @@
 type retrier struct{}
 
 // Allow implements query.Retrier.
-func (retrier) Allow(time.Time, *rand.Rand, *core.Service, int) (time.Duration, bool) {
-	return 0, false
+func (retrier) Allow(time.Time, *rand.Rand, *core.Service, query.Failure) (time.Duration, bool, bool) {
+	return 0, false, false
 }
 
 // ObserveLeg implements query.Retrier.
--- a/plugins/selection/random/random.go
+++ b/plugins/selection/random/random.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	"gooseberrylane.example/coord/query"
+	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
 )
@@ -33,3 +34,6 @@
 	}
 	return best
 }
+
+// ObserveResult implements query.Selector.
+func (selector) ObserveResult(time.Time, *core.View, *core.Group, core.UpstreamID, *core.LegResult) {}
