--- a/plugins/engine/standard/engine.go
+++ b/plugins/engine/standard/engine.go
@@ -4,12 +4,14 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
 
 	"gooseberrylane.example/coord/query"
+	"gooseberrylane.example/coord/snapshot"
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
@@ -22,7 +24,7 @@
 			return &Settings{MarginMS: defaultMarginMS, RecordTimeoutMS: defaultRecordTimeoutMS}
 		},
 		Options: func(s any) fx.Option {
-			return fx.Provide(func(p params) kinds.Engine { return &engine{params: p, settings: s.(*Settings)} })
+			return fx.Provide(func(lc fx.Lifecycle, p params) kinds.Engine { return newEngine(lc, p, s.(*Settings)) })
 		},
 	})
 }
@@ -62,6 +64,16 @@
 	params
 	settings *Settings
 	sequence atomic.Uint64
+	// silentSince maps core.UpstreamID to the time.Time at which its window was asked for in vain.
+	silentSince sync.Map
+	stop        context.CancelFunc
+	done        sync.WaitGroup
+}
+
+func newEngine(lc fx.Lifecycle, p params, settings *Settings) kinds.Engine {
+	e := &engine{params: p, settings: settings}
+	lc.Append(fx.Hook{OnStart: e.start, OnStop: e.shutdown})
+	return e
 }
 
 // Run implements kinds.Engine.
@@ -101,25 +113,18 @@
 func (e *engine) runPinned(ctx context.Context, view *core.View, service *core.Service, q *core.Query) core.Answer {
 	version := e.pin(ctx, view, service, q.Deadline)
 	answer := e.runAt(ctx, view, q, version)
-	if !wantsOtherVersion(&answer) {
+	if !snapshot.WantsRepin(&answer) {
 		return answer
 	}
-	if again := chooseVersion(view, service); again != version && e.Clock.Now().Before(q.Deadline) {
-		return e.runAt(ctx, view, q, again)
-	}
-	return answer
-}
-
-func wantsOtherVersion(answer *core.Answer) bool {
-	if len(answer.Covered) > 0 {
-		return false
+	again := chooseVersion(view, service)
+	if again == version || !e.Clock.Now().Before(q.Deadline) {
+		return answer
 	}
-	for _, missing := range answer.Missing {
-		if missing.Reason == core.CodeVersionMissing {
-			return true
-		}
+	if _, _, err := query.Resolve(view, q, again); err != nil {
+		// The first answer names the missing shards; a refusal would not.
+		return answer
 	}
-	return false
+	return e.runAt(ctx, view, q, again)
 }
 
 // runOnce runs a non-idempotent query if its record allows it.
--- a/plugins/engine/standard/run.go
+++ b/plugins/engine/standard/run.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"gooseberrylane.example/coord/query"
-	"gooseberrylane.example/coord/snapshot"
 	"gooseberrylane.example/core"
 )
 
@@ -114,7 +113,8 @@
 	} else {
 		state.SetWindow(result.Window)
 	}
-	if result.Draining {
+	// For held upstreams, the executor sets and clears the mark.
+	if result.Draining && !r.engine.State.Load().Ownership.Held[upstream] {
 		state.DrainSince.CompareAndSwap(0, r.engine.Clock.Now().UnixNano())
 	}
 	switch {
@@ -138,68 +138,3 @@
 		}
 	}
 }
-
-// pin returns the index version for a query. While no window is known for some group, it asks the owners first.
-func (e *engine) pin(ctx context.Context, view *core.View, service *core.Service, deadline time.Time) core.IndexVersion {
-	if unknown := unknownWindows(view, service); len(unknown) > 0 {
-		e.learnWindows(ctx, view, unknown, deadline)
-	}
-	return chooseVersion(view, service)
-}
-
-func chooseVersion(view *core.View, service *core.Service) core.IndexVersion {
-	groups := make([][]core.Window, len(service.Groups))
-	for g := range service.Groups {
-		for u := range service.Groups[g].Upstreams {
-			if state := view.State(service.Groups[g].Upstreams[u].ID); state != nil {
-				groups[g] = append(groups[g], state.Window())
-			}
-		}
-	}
-	return snapshot.Choose(service.Rule.VersionRule, groups)
-}
-
-// unknownWindows returns the upstreams of the groups of which no window is known.
-func unknownWindows(view *core.View, service *core.Service) []core.UpstreamID {
-	var unknown []core.UpstreamID
-	for g := range service.Groups {
-		known := false
-		for u := range service.Groups[g].Upstreams {
-			state := view.State(service.Groups[g].Upstreams[u].ID)
-			known = known || (state != nil && state.Window().Newest != 0)
-		}
-		if known {
-			continue
-		}
-		for u := range service.Groups[g].Upstreams {
-			unknown = append(unknown, service.Groups[g].Upstreams[u].ID)
-		}
-	}
-	return unknown
-}
-
-// learnWindows asks the owners of upstreams for their windows. Legs without a version run nothing.
-func (e *engine) learnWindows(ctx context.Context, view *core.View, upstreams []core.UpstreamID, deadline time.Time) {
-	now := e.Clock.Now()
-	until := now.Add(time.Duration(float64(deadline.Sub(now)) * probeShare))
-	ctx, cancel := context.WithDeadline(ctx, until)
-	defer cancel()
-	results := make(chan core.LegResult, len(upstreams))
-	byAttempt := make(map[core.AttemptID]core.UpstreamID, len(upstreams))
-	legs := make([]core.Leg, len(upstreams))
-	for i, id := range upstreams {
-		legs[i] = core.Leg{Attempt: e.nextAttempt(), Upstream: id, NotAfter: until, Idempotent: true}
-		byAttempt[legs[i].Attempt] = id
-	}
-	e.Dispatcher.Send(ctx, legs, func(r core.LegResult) { results <- r })
-	for range legs {
-		select {
-		case r := <-results:
-			if state := view.State(byAttempt[r.Attempt]); state != nil {
-				state.SetWindow(r.Window)
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/plugins/executor/slots/slots.go
+++ b/plugins/executor/slots/slots.go
@@ -62,6 +62,7 @@
 	// targets is replaced as a whole; requests load it without a lock.
 	targets atomic.Pointer[map[core.UpstreamID]*target]
 	writers sync.Mutex
+	base    context.Context
 	stop    context.CancelFunc
 	done    sync.WaitGroup
 }
@@ -75,7 +76,7 @@
 
 func (e *executor) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	e.stop = cancel
+	e.base, e.stop = ctx, cancel
 	e.done.Go(func() { e.follow(ctx) })
 	return nil
 }
@@ -140,15 +141,24 @@
 
 func (e *executor) open(upstream core.Upstream) *target {
 	limit := max(int(float64(upstream.Connections)*connectionShare), 1)
-	return newTarget(upstream, e.Transport.Open(upstream, limit), e.settings.QueuePerSlot)
+	t := newTarget(upstream, e.Transport.Open(upstream, limit), e.Clock, e.settings.QueuePerSlot)
+	if state := e.State.Load().State(upstream.ID); state != nil && state.DrainSince.Load() != 0 {
+		// Another VM told before this one held the upstream.
+		e.answered(t)
+	}
+	return t
 }
 
 // warm opens connections ahead of need and learns the index window.
 func (e *executor) warm(ctx context.Context, t *target) {
-	t.pool.Warm(ctx, min(t.upstream.Slots+spareConnections, t.upstream.Connections))
+	t.pool.Warm(ctx, e.warmConnections(t))
 	e.probe(ctx, t)
 }
 
+func (e *executor) warmConnections(t *target) int {
+	return min(t.upstream.Slots+spareConnections, t.upstream.Connections)
+}
+
 func (e *executor) probeAll(ctx context.Context) {
 	for _, t := range *e.targets.Load() {
 		e.done.Go(func() { e.probe(ctx, t) })
@@ -160,8 +170,13 @@
 	defer cancel()
 	result, err := t.pool.Probe(ctx)
 	if err != nil {
+		e.healthTold(t, false, result.Code == core.CodeConnectFailed)
 		return
 	}
+	e.healthTold(t, result.Draining, false)
+	if t.leaving.now() {
+		t.pool.CloseIdle()
+	}
 	if state := e.State.Load().State(t.upstream.ID); state != nil {
 		state.SetWindow(result.Window)
 	}
@@ -176,7 +191,13 @@
 	if leg.Version == 0 {
 		return e.describe(ctx, t, leg)
 	}
-	result := t.execute(ctx, e.Clock, leg)
+	if upstream := e.State.Load().Config.Upstream(leg.Upstream); upstream != nil && upstream.Draining {
+		return core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeDraining}
+	}
+	result := t.execute(ctx, &leg)
+	if result.Draining || result.Code == core.CodeDraining {
+		e.answered(t)
+	}
 	if state := e.State.Load().State(leg.Upstream); state != nil {
 		observeWindow(state, &leg, &result)
 	}
@@ -210,6 +231,7 @@
 		e.probe(ctx, t)
 	}
 	result.Window = state.Window()
+	result.Draining = t.leaving.now()
 	return result
 }
 
--- a/plugins/transport/http/conn.go
+++ b/plugins/transport/http/conn.go
@@ -40,6 +40,10 @@
 	// dialed is set once a connection was opened; before that, a failed request was certainly not sent.
 	dialed atomic.Bool
 	broken atomic.Bool
+	// opened and used are Unix times in nanoseconds: when the TCP connection was opened and last carried an answer.
+	opened, used atomic.Int64
+	// suspect connections must answer a probe before they carry a request again.
+	suspect atomic.Bool
 }
 
 func newConn(address string, settings *Settings) *conn {
@@ -50,6 +54,7 @@
 			nc, err := dialer.DialContext(ctx, network, addr)
 			if err == nil {
 				c.dialed.Store(true)
+				c.opened.Store(time.Now().UnixNano())
 			}
 			return nc, err
 		},
@@ -84,6 +89,7 @@
 		result.Code = core.CodeConnectionLost
 		return result
 	}
+	c.used.Store(time.Now().UnixNano())
 	readResult(response, data, &result)
 	return result
 }
@@ -170,17 +176,20 @@
 	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		c.broken.Store(true)
-		return core.LegResult{}, err
+		outcome, code := c.classify(ctx, err)
+		return core.LegResult{Outcome: outcome, Code: code}, err
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, c.maxBody)); err != nil {
 		c.broken.Store(true)
 		return core.LegResult{}, err
 	}
+	c.used.Store(time.Now().UnixNano())
 	return core.LegResult{Window: window(response.Header), Draining: response.Header.Get(headerDraining) != ""}, nil
 }
 
-// cancel asks the upstream to cancel an attempt.
+// cancel asks the upstream to cancel an attempt. A nil error proves that the attempt is not running any more, once its
+// connection is closed: the upstream cancelled it, or had none.
 func (c *conn) cancel(ctx context.Context, attempt core.AttemptID) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.base+"/v1/execute/"+attemptText(attempt), nil)
 	if err != nil {
@@ -191,5 +200,10 @@
 		c.broken.Store(true)
 		return err
 	}
-	return response.Body.Close()
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusNoContent && response.StatusCode != http.StatusNotFound {
+		return fmt.Errorf("cancellation answered with status %d", response.StatusCode)
+	}
+	c.used.Store(time.Now().UnixNano())
+	return nil
 }
--- a/plugins/transport/http/http.go
+++ b/plugins/transport/http/http.go
@@ -2,9 +2,6 @@
 package http
 
 import (
-	"context"
-	"time"
-
 	"go.uber.org/fx"
 
 	"gooseberrylane.example/core"
@@ -16,7 +13,10 @@
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.TransportKind, Name: "http",
 		Settings: func() any {
-			return &Settings{DialTimeoutMS: defaultDialTimeoutMS, MaxAnswerBytes: defaultMaxAnswerBytes, CancelGraceMS: defaultCancelGraceMS}
+			return &Settings{
+				DialTimeoutMS: defaultDialTimeoutMS, MaxAnswerBytes: defaultMaxAnswerBytes, CancelGraceMS: defaultCancelGraceMS,
+				KeepaliveMS: defaultKeepaliveMS, ProbeTimeoutMS: defaultProbeTimeoutMS,
+			}
 		},
 		Options: func(s any) fx.Option {
 			return fx.Provide(func() kinds.Transport { return &transport{settings: s.(*Settings)} })
@@ -28,6 +28,8 @@
 	defaultDialTimeoutMS  = 250
 	defaultMaxAnswerBytes = 1 << 20
 	defaultCancelGraceMS  = 50
+	defaultKeepaliveMS    = 1000
+	defaultProbeTimeoutMS = 250
 )
 
 // Settings of the plug-in.
@@ -39,6 +41,11 @@
 	// CancelGraceMS is how long a cancelled attempt may take to end before its connection is closed, in milliseconds.
 	// Default 50.
 	CancelGraceMS int64 `json:"cancel_grace_ms" validate:"gte=1,lte=10000"`
+	// KeepaliveMS is how long a connection may carry nothing while a request waits on it, before it is retired, in
+	// milliseconds. It bounds the time of a request. Default 1000.
+	KeepaliveMS int64 `json:"keepalive_ms" validate:"gte=10,lte=600000"`
+	// ProbeTimeoutMS bounds the answer to the probe of an idle or suspect connection, in milliseconds. Default 250.
+	ProbeTimeoutMS int64 `json:"probe_timeout_ms" validate:"gte=10,lte=60000"`
 }
 
 type transport struct{ settings *Settings }
@@ -47,38 +54,3 @@
 func (t *transport) Open(upstream core.Upstream, limit int) kinds.Pool {
 	return newPool(upstream, limit, t.settings)
 }
-
-// Execute implements kinds.Pool. When ctx ends, the attempt is cancelled at the upstream; the connection is closed
-// only if the upstream does not end the attempt within the grace time.
-func (p *pool) Execute(ctx context.Context, leg core.Leg) core.LegResult {
-	c, err := p.acquire(ctx)
-	if err != nil {
-		return core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeOverloaded}
-	}
-	defer p.release(c)
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	ended := context.AfterFunc(ctx, func() {
-		p.cancelAttempt(leg.Attempt)
-		time.AfterFunc(time.Duration(p.settings.CancelGraceMS)*time.Millisecond, stop)
-	})
-	defer ended()
-	return c.execute(work, &leg)
-}
-
-// cancelAttempt sends the cancellation on a connection of its own, because the attempt occupies its connection until
-// it ends. Without a free connection under the limit, closing the connection of the attempt cancels it.
-func (p *pool) cancelAttempt(attempt core.AttemptID) {
-	c := p.free.pop()
-	if c == nil {
-		if !p.reserve() {
-			return
-		}
-		c = newConn(p.upstream.Address, p.settings)
-	}
-	defer p.release(c)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.settings.CancelGraceMS)*time.Millisecond)
-	defer cancel()
-	// A failed cancellation is not reported: the connection of the attempt is closed after the grace time.
-	_ = c.cancel(ctx, attempt)
-}
--- a/plugins/transport/http/pool.go
+++ b/plugins/transport/http/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"gooseberrylane.example/core"
@@ -16,6 +17,8 @@
 	open     atomic.Int64
 	free     stack
 	closed   atomic.Bool
+	// all holds every open *conn, so that connections opened together can be found.
+	all sync.Map
 	// returned wakes one waiter when a connection is freed or closed.
 	returned chan struct{}
 }
@@ -57,11 +60,12 @@
 // acquire returns a free connection, or a new one if the limit allows, or waits for one until ctx ends.
 func (p *pool) acquire(ctx context.Context) (*conn, error) {
 	for {
-		if c := p.free.pop(); c != nil {
+		if c := p.popTrusted(); c != nil {
+			p.wakeNext()
 			return c, nil
 		}
 		if p.reserve() {
-			return newConn(p.upstream.Address, p.settings), nil
+			return p.newConn(), nil
 		}
 		select {
 		case <-p.returned:
@@ -93,12 +97,27 @@
 	p.wake()
 }
 
+// newConn returns a connection that is opened with its first request. The caller has reserved it.
+func (p *pool) newConn() *conn {
+	c := newConn(p.upstream.Address, p.settings)
+	p.all.Store(c, struct{}{})
+	return c
+}
+
 func (p *pool) discard(c *conn) {
+	p.all.Delete(c)
 	c.close()
 	p.open.Add(-1)
 	p.wake()
 }
 
+// wakeNext passes a wake-up on when more connections are free: the channel holds one, which may stand for several.
+func (p *pool) wakeNext() {
+	if p.free.head.Load() != nil {
+		p.wake()
+	}
+}
+
 func (p *pool) wake() {
 	select {
 	case p.returned <- struct{}{}:
@@ -109,7 +128,7 @@
 // Warm implements kinds.Pool.
 func (p *pool) Warm(ctx context.Context, n int) {
 	for p.open.Load() < int64(n) && p.reserve() {
-		c := newConn(p.upstream.Address, p.settings)
+		c := p.newConn()
 		if _, err := c.health(ctx); err != nil {
 			p.discard(c)
 			return
@@ -130,13 +149,3 @@
 	p.closed.Store(true)
 	p.CloseIdle()
 }
-
-// Probe implements kinds.Pool.
-func (p *pool) Probe(ctx context.Context) (core.LegResult, error) {
-	c, err := p.acquire(ctx)
-	if err != nil {
-		return core.LegResult{}, err
-	}
-	defer p.release(c)
-	return c.health(ctx)
-}
