--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -9,6 +9,7 @@
 	_ "gooseberrylane.example/plugins/executor/slots"
 	_ "gooseberrylane.example/plugins/frontend/http"
 	_ "gooseberrylane.example/plugins/frontend/operator"
+	_ "gooseberrylane.example/plugins/hedging/learned"
 	_ "gooseberrylane.example/plugins/hedging/none"
 	_ "gooseberrylane.example/plugins/membership/static"
 	_ "gooseberrylane.example/plugins/metrics/expvar"
@@ -17,7 +18,9 @@
 	_ "gooseberrylane.example/plugins/records/none"
 	_ "gooseberrylane.example/plugins/records/platform"
 	_ "gooseberrylane.example/plugins/report/burn"
+	_ "gooseberrylane.example/plugins/retry/budget"
 	_ "gooseberrylane.example/plugins/retry/none"
+	_ "gooseberrylane.example/plugins/selection/adaptive"
 	_ "gooseberrylane.example/plugins/selection/random"
 	_ "gooseberrylane.example/plugins/transport/http"
 )
