Decide configuration changes in coord/config

Cause: a confirmed change must be in force everywhere and never revert, so the decisions about intents, plans and the change log are needed apart from any transport.

Not tried: sets of the size in two years.

--- /dev/null
+++ b/coord/config/spread.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gooseberrylane.example/core"
+)
+
+// How changes spread between VMs.
+const (
+	// WatchersPerDomain is the number of VMs of a failure domain that watch the platform.
+	WatchersPerDomain = 2
+	// Checkpointers is the number of VMs that write checkpoints; more than one, because each may be cut off.
+	Checkpointers = 2
+	// FanOut is the number of peers to which a VM pushes a change that is new to it.
+	FanOut = 3
+	// localPartners and remotePartners bound the peers that a VM talks to by itself, and with them its links.
+	localPartners  = 5
+	remotePartners = 3
+)
+
+// score ranks VMs for a purpose by rendezvous hashing.
+func score(purpose string, vm core.VMName) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// Writes to a digest cannot fail.
+	_, _ = d.WriteString(purpose)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(vm))
+	return d.Sum64()
+}
+
+// top returns the n VMs with the highest scores.
+func top(purpose string, vms []core.VM, n int) []core.VM {
+	ranked := slices.Clone(vms)
+	slices.SortFunc(ranked, func(a, b core.VM) int {
+		if c := cmp.Compare(score(purpose, b.Name), score(purpose, a.Name)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
+func isSelf(members *core.Members, vms []core.VM) bool {
+	return slices.ContainsFunc(vms, func(vm core.VM) bool { return vm.Name == members.Self.Name })
+}
+
+// selectVMs returns the live VMs that satisfy a condition.
+func selectVMs(members *core.Members, want func(*core.VM) bool) []core.VM {
+	var vms []core.VM
+	for i := range members.All {
+		if vm := &members.All[i]; vm.State == core.VMLive && want(vm) {
+			vms = append(vms, *vm)
+		}
+	}
+	return vms
+}
+
+// IsWatcher reports whether this VM is one of the watchers of its failure domain.
+func IsWatcher(members *core.Members) bool {
+	domain := members.Self.Domain
+	local := selectVMs(members, func(vm *core.VM) bool { return vm.Domain == domain })
+	return isSelf(members, top("configuration watch "+string(domain), local, WatchersPerDomain))
+}
+
+// IsCheckpointer reports whether this VM writes checkpoints.
+func IsCheckpointer(members *core.Members) bool {
+	all := selectVMs(members, func(*core.VM) bool { return true })
+	return isSelf(members, top("configuration checkpoint", all, Checkpointers))
+}
+
+// Partners are the peers with which a VM exchanges changes. They are few and stay the same while the members do.
+type Partners struct {
+	Local, Remote []core.VM
+}
+
+// NewPartners chooses the partners of this VM.
+func NewPartners(members *core.Members) Partners {
+	self := members.Self
+	purpose := "configuration partner " + string(self.Name)
+	local := selectVMs(members, func(vm *core.VM) bool { return vm.Name != self.Name && vm.Domain == self.Domain })
+	remote := selectVMs(members, func(vm *core.VM) bool { return vm.Domain != self.Domain })
+	p := Partners{Local: top(purpose, local, localPartners), Remote: top(purpose, remote, remotePartners)}
+	return p
+}
+
+// All returns all partners.
+func (p Partners) All() []core.VM { return slices.Concat(p.Local, p.Remote) }
+
+// Push chooses at most FanOut partners for a push, at least one of them in another failure domain if there is any.
+func (p Partners) Push(random *rand.Rand) []core.VM {
+	remote := choose(p.Remote, 1, random)
+	local := choose(p.Local, FanOut-len(remote), random)
+	chosen := slices.Concat(remote, local)
+	if missing := FanOut - len(chosen); missing > 0 && len(remote) > 0 {
+		others := slices.DeleteFunc(slices.Clone(p.Remote), func(vm core.VM) bool { return vm.Name == remote[0].Name })
+		chosen = append(chosen, choose(others, missing, random)...)
+	}
+	return chosen
+}
+
+// One chooses one partner, or none when there is no partner.
+func (p Partners) One(random *rand.Rand) []core.VM { return choose(p.All(), 1, random) }
+
+func choose(vms []core.VM, n int, random *rand.Rand) []core.VM {
+	shuffled := slices.Clone(vms)
+	random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	return shuffled[:min(n, len(shuffled))]
+}
--- /dev/null
+++ b/coord/config/values.go
@@ -0,0 +1,131 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"gooseberrylane.example/core"
+)
+
+// Ranges of the values of a configuration.
+const (
+	// MaxDeadline is the longest deadline that a rule may allow, in milliseconds.
+	MaxDeadline core.Milliseconds = 600_000
+	// MaxShardsBound is the highest bound for the shards of one query.
+	MaxShardsBound = 100_000
+	// MaxPercent bounds the shares of hedges and retries.
+	MaxPercent = 100
+	// MaxRate bounds the rate per caller, in queries per second.
+	MaxRate = 1_000_000
+	// MaxSlots bounds the slots of one upstream.
+	MaxSlots = 10_000
+	// MaxConnections bounds the connections of one upstream.
+	MaxConnections = 100_000
+	// MaxOpenCost bounds the time to open a connection, in milliseconds.
+	MaxOpenCost core.Milliseconds = 60_000
+)
+
+const maxPort = 65_535
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+
+// ValidName reports whether a text can name a service, group, shard, upstream, failure domain, operator or plan.
+func ValidName(text string) bool { return namePattern.MatchString(text) }
+
+func (c *checker) name(path, text string) {
+	if !ValidName(text) {
+		c.add(path, "want 1 to 128 letters, digits or ._:-")
+	}
+}
+
+func (c *checker) rule(path string, rule *core.Rule) {
+	c.between(path+".class", int64(rule.Class), 0, int64(core.MaxClass))
+	c.between(path+".max_deadline_ms", int64(rule.MaxDeadlineMS), 1, int64(MaxDeadline))
+	c.between(path+".default_deadline_ms", int64(rule.DefaultDeadlineMS), 1, int64(min(max(rule.MaxDeadlineMS, 1), MaxDeadline)))
+	if rule.VersionRule != core.VersionNewest && rule.VersionRule != core.VersionBestCovered {
+		c.add(path+".version_rule", "want %q or %q, got %q", core.VersionNewest, core.VersionBestCovered, rule.VersionRule)
+	}
+	c.between(path+".max_shards", int64(rule.MaxShards), 0, MaxShardsBound)
+	c.number(path+".hedge_percent", rule.HedgePercent, MaxPercent)
+	c.number(path+".retry_percent", rule.RetryPercent, MaxPercent)
+	c.number(path+".rate_per_caller", rule.RatePerCaller, MaxRate)
+	seen := make(map[core.FailureDomain]bool)
+	for i, domain := range rule.Domains {
+		domainPath := fmt.Sprintf("%s.domains[%d]", path, i)
+		c.name(domainPath, string(domain))
+		if seen[domain] {
+			c.add(domainPath, "failure domain %q is listed twice", domain)
+		}
+		seen[domain] = true
+	}
+}
+
+func (c *checker) between(path string, value, low, high int64) {
+	if value < low || value > high {
+		c.add(path, "want %d to %d, got %d", low, high, value)
+	}
+}
+
+// number checks a fraction; NaN is out of range too.
+func (c *checker) number(path string, value, high float64) {
+	if math.IsNaN(value) || value < 0 || value > high {
+		c.add(path, "want 0 to %g, got %g", high, value)
+	}
+}
+
+func (c *checker) group(path string, group *core.Group) {
+	c.name(path+".name", string(group.Name))
+	seen := make(map[core.UpstreamID]bool)
+	for u := range group.Upstreams {
+		upstream := &group.Upstreams[u]
+		upstreamPath := fmt.Sprintf("%s.upstreams[%d]", path, u)
+		if seen[upstream.ID] {
+			c.add(upstreamPath+".id", "upstream %q is listed twice", upstream.ID)
+		}
+		seen[upstream.ID] = true
+		c.upstream(upstreamPath, upstream)
+	}
+}
+
+func (c *checker) upstream(path string, upstream *core.Upstream) {
+	c.name(path+".id", string(upstream.ID))
+	c.name(path+".domain", string(upstream.Domain))
+	if !validAddress(upstream.Address) {
+		c.add(path+".address", "want host:port, got %q", upstream.Address)
+	}
+	c.between(path+".slots", int64(upstream.Slots), 1, MaxSlots)
+	c.between(path+".connections", int64(upstream.Connections), 1, MaxConnections)
+	c.between(path+".open_cost_ms", int64(upstream.OpenCostMS), 0, int64(MaxOpenCost))
+}
+
+func validAddress(address string) bool {
+	colon := strings.LastIndexByte(address, ':')
+	if colon <= 0 || strings.ContainsAny(address, " \t\r\n/") {
+		return false
+	}
+	port, err := strconv.Atoi(address[colon+1:])
+	return err == nil && port >= 1 && port <= maxPort
+}
+
+// layout checks one layout; last is the first version of the layout before it.
+func (c *checker) layout(path string, layout *core.Layout, last core.IndexVersion) {
+	if layout.FirstVersion <= last {
+		c.add(path+".first_version", "want more than %d, got %d", last, layout.FirstVersion)
+	}
+	if len(layout.Shards) == 0 {
+		c.add(path+".shards", "want at least one shard")
+	}
+	seen := make(map[core.ShardName]bool)
+	for s := range layout.Shards {
+		shard := &layout.Shards[s]
+		shardPath := fmt.Sprintf("%s.shards[%d]", path, s)
+		c.name(shardPath+".name", string(shard.Name))
+		if seen[shard.Name] {
+			c.add(shardPath+".name", "shard %q is listed twice", shard.Name)
+		}
+		seen[shard.Name] = true
+	}
+}
--- /dev/null
+++ b/coord/config/warnings.go
@@ -0,0 +1,157 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+
+	"gooseberrylane.example/core"
+)
+
+// Warnings describes the risks of going from one set to another. A warning never refuses a plan: the operator decides.
+func Warnings(before, after *core.ConfigSet) []string {
+	var w warner
+	for _, name := range unionKeys(before.Services, after.Services) {
+		old, next := before.Services[name], after.Services[name]
+		switch {
+		case old == next:
+		case next == nil:
+			w.add("%s: the service is removed; its queries are refused with %s", name, core.CodeUnknownService)
+		default:
+			w.service(name, old, next)
+		}
+	}
+	return w.found
+}
+
+type warner struct{ found []string }
+
+func (w *warner) add(format string, args ...any) {
+	w.found = append(w.found, fmt.Sprintf(format, args...))
+}
+
+// strength is what a group can do for its service.
+type strength struct {
+	replicas, slots int
+	domains         map[core.FailureDomain]bool
+}
+
+// strengthOf counts the upstreams of a group that take work from queries of its service.
+func strengthOf(service *core.Service, group core.GroupName) strength {
+	s := strength{domains: make(map[core.FailureDomain]bool)}
+	if service == nil || service.Group(group) == nil {
+		return s
+	}
+	for _, upstream := range service.Group(group).Upstreams {
+		domains := service.Rule.Domains
+		if upstream.Draining || (len(domains) > 0 && !slices.Contains(domains, upstream.Domain)) {
+			continue
+		}
+		s.replicas++
+		s.slots += upstream.Slots
+		s.domains[upstream.Domain] = true
+	}
+	return s
+}
+
+func (w *warner) service(name core.ServiceName, old, next *core.Service) {
+	w.coverage(name, old, next)
+	w.layouts(name, old, next)
+	for g := range next.Groups {
+		group := next.Groups[g].Name
+		w.group(fmt.Sprintf("%s/%s", name, group), old, next, group)
+	}
+}
+
+func (w *warner) group(path string, old, next *core.Service, name core.GroupName) {
+	had, has := strengthOf(old, name), strengthOf(next, name)
+	known := old != nil && old.Group(name) != nil
+	switch {
+	case has.replicas == 0 && (had.replicas > 0 || !known):
+		w.add("%s: no replica is left that takes work", path)
+		return
+	case has.slots < had.slots:
+		w.add("%s: slots that take work fall from %d to %d", path, had.slots, has.slots)
+	}
+	if len(has.domains) == 1 && (len(had.domains) > 1 || !known) {
+		w.add("%s: all replicas that take work are in one failure domain", path)
+	}
+	w.undrained(path, old, next, name)
+	w.connections(path, old, next, name)
+}
+
+// undrained warns when a replacement of a group takes a drain mark away.
+func (w *warner) undrained(path string, old, next *core.Service, name core.GroupName) {
+	if old == nil || old.Group(name) == nil {
+		return
+	}
+	marked := upstreamsByID(old.Group(name))
+	for _, upstream := range next.Group(name).Upstreams {
+		if before := marked[upstream.ID]; before != nil && before.Draining && !upstream.Draining {
+			w.add("%s/%s: the upstream was draining and takes work again", path, upstream.ID)
+		}
+	}
+}
+
+// connections warns about upstreams whose slots cannot be filled: pools use at most half of the connections.
+func (w *warner) connections(path string, old, next *core.Service, name core.GroupName) {
+	known := make(map[core.UpstreamID]*core.Upstream)
+	if old != nil && old.Group(name) != nil {
+		known = upstreamsByID(old.Group(name))
+	}
+	for _, upstream := range next.Group(name).Upstreams {
+		before := known[upstream.ID]
+		if upstream.Connections/2 < upstream.Slots && (before == nil || *before != upstream) {
+			w.add("%s/%s: half of the %d connections cannot fill %d slots", path, upstream.ID, upstream.Connections, upstream.Slots)
+		}
+	}
+}
+
+// coverage warns when shards of the last layout are lost or lose their last replica.
+func (w *warner) coverage(name core.ServiceName, old, next *core.Service) {
+	if old == nil || len(old.Layouts) == 0 || len(next.Layouts) == 0 {
+		return
+	}
+	had, has := coveredShards(old), coveredShards(next)
+	lost := 0
+	for shard := range had {
+		if !has[shard] {
+			lost++
+		}
+	}
+	if lost > 0 {
+		w.add("%s: coverage falls: %d of %d shards are no longer covered", name, lost, len(had))
+	}
+}
+
+// coveredShards returns the shards of the last layout whose group has a replica that takes work.
+func coveredShards(service *core.Service) map[core.ShardName]bool {
+	covered := make(map[core.ShardName]bool)
+	works := make(map[core.GroupName]bool)
+	for g := range service.Groups {
+		name := service.Groups[g].Name
+		works[name] = strengthOf(service, name).replicas > 0
+	}
+	for _, shard := range service.Layouts[len(service.Layouts)-1].Shards {
+		if works[shard.Group] {
+			covered[shard.Name] = true
+		}
+	}
+	return covered
+}
+
+// layouts warns when a layout that queries may be pinned to changes in place.
+func (w *warner) layouts(name core.ServiceName, old, next *core.Service) {
+	if old == nil {
+		return
+	}
+	after := layoutsByVersion(next)
+	for l := range old.Layouts {
+		before := &old.Layouts[l]
+		now := after[before.FirstVersion]
+		if now == nil {
+			w.add("%s: the layout from version %d is removed", name, before.FirstVersion)
+		} else if !slices.Equal(before.Shards, now.Shards) {
+			w.add("%s: the layout from version %d changes in place", name, before.FirstVersion)
+		}
+	}
+}
