Keep the configuration as a change log on the platform

Cause: a confirmed change must be in force on every VM within seconds, with few calls to the platform, and survive its outages, lost answers and stale reads.

Added: the plug-in configuration/log. Two watchers per failure domain hold the long watches; the others get changes by push (fan-out 3) and by comparing revisions with one partner per period. Partners are few and stable, so that links stay few. A confirm can only write the revision after its base, so that one object decides it, whoever asks and however often. Ready is now set by the configuration and no longer by the membership.

--- a/coord/config/digest.go
+++ b/coord/config/digest.go
@@ -14,6 +14,12 @@
 	known map[*core.Service]uint64
 }
 
+// Digest identifies the content of a set; equal sets have equal digests.
+func Digest(set *core.ConfigSet) uint64 {
+	var d digester
+	return d.digest(set)
+}
+
 func (d *digester) digest(set *core.ConfigSet) uint64 {
 	next := make(map[*core.Service]uint64, len(set.Services))
 	var sum uint64
--- /dev/null
+++ b/plugins/configuration/log/checkpoint.go
@@ -0,0 +1,179 @@
+package log
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"gooseberrylane.example/coord/config"
+	"gooseberrylane.example/core"
+)
+
+const (
+	// inlineBytes is the size up to which a checkpoint is one object, and partBytes the size of the parts of a larger
+	// one. A value of the platform has at most 1 MB, and JSON makes bytes a third longer.
+	inlineBytes = 512 << 10
+	partBytes   = 512 << 10
+	// checkpointTimeout bounds the writing of a checkpoint.
+	checkpointTimeout = 10 * time.Second
+)
+
+// checkpoint is the object under a checkpoint key. It is written after its parts, so that it is never incomplete.
+type checkpoint struct {
+	Revision core.Revision `json:"revision"`
+	// Digest is the digest of the set, in hexadecimal.
+	Digest string `json:"digest"`
+	// Data is the compressed set, or empty when Parts lists the keys of its parts.
+	Data  []byte   `json:"data,omitempty"`
+	Parts []string `json:"parts,omitempty"`
+}
+
+// latest is the object under latestKey.
+type latest struct {
+	Revision core.Revision `json:"revision"`
+}
+
+func (s *service) readLatest(ctx context.Context) (latest, uint64, error) {
+	object, err := s.Platform.Get(ctx, latestKey)
+	if codeOf(err) == core.CodeNotFound {
+		return latest{}, 0, nil
+	}
+	if err != nil {
+		return latest{}, 0, err
+	}
+	var l latest
+	if err := json.Unmarshal(object.Value, &l); err != nil {
+		s.Log.Error("config_checkpoint_refused", "key", latestKey, "error", err.Error())
+	}
+	return l, object.Version, nil
+}
+
+// readCheckpoint restores the last checkpoint if it is ahead of the log. A checkpoint that cannot be used only makes
+// the replay longer. The error tells that the platform did not answer.
+func (s *service) readCheckpoint(ctx context.Context) error {
+	l, _, err := s.readLatest(ctx)
+	if err != nil || l.Revision <= s.held() {
+		return err
+	}
+	set, err := s.fetchCheckpoint(ctx, l.Revision)
+	if codeOf(err) == core.CodePlatformUnavailable {
+		return err
+	}
+	if err != nil {
+		s.Log.Error("config_checkpoint_refused", "revision", uint64(l.Revision), "error", err.Error())
+		return nil
+	}
+	s.restore(sourcePlatform, set)
+	return nil
+}
+
+func (s *service) fetchCheckpoint(ctx context.Context, revision core.Revision) (*core.ConfigSet, error) {
+	object, err := s.read(ctx, checkpointKey(revision))
+	if err != nil {
+		return nil, err
+	}
+	var c checkpoint
+	if err := json.Unmarshal(object.Value, &c); err != nil {
+		return nil, err
+	}
+	data := c.Data
+	for _, key := range c.Parts {
+		part, err := s.read(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+		data = append(data, part.Value...)
+	}
+	set, err := decodeSet(data)
+	if err != nil {
+		return nil, err
+	}
+	if set.Revision != revision || c.Digest != digestText(set) {
+		return nil, core.Errorf(core.CodeConflict, "the content of checkpoint %d does not match its digest", revision)
+	}
+	return set, nil
+}
+
+func digestText(set *core.ConfigSet) string { return fmt.Sprintf("%016x", config.Digest(set)) }
+
+// writeCheckpoint writes a checkpoint when this VM is a writer and the last one is far behind. A failure is repaired by
+// the other writer or after the next watch.
+func (s *service) writeCheckpoint() {
+	s.mu.Lock()
+	set := s.log.Set()
+	s.mu.Unlock()
+	if !s.spread().writer || set.Revision < s.checkpointed+config.CheckpointEvery {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.base, checkpointTimeout)
+	defer cancel()
+	l, version, err := s.readLatest(ctx)
+	if err != nil {
+		return
+	}
+	s.checkpointed = max(s.checkpointed, l.Revision)
+	if set.Revision < s.checkpointed+config.CheckpointEvery {
+		return
+	}
+	if err := s.storeCheckpoint(ctx, set); err != nil {
+		s.Log.Warn("config_checkpoint_not_written", "revision", uint64(set.Revision), "error", err.Error())
+		return
+	}
+	if err := s.storeLatest(ctx, latest{Revision: set.Revision}, version); err == nil {
+		s.checkpointed = set.Revision
+		s.Log.Info("config_checkpoint_written", "revision", uint64(set.Revision))
+	}
+}
+
+func (s *service) storeCheckpoint(ctx context.Context, set *core.ConfigSet) error {
+	data, err := encodeSet(set)
+	if err != nil {
+		return err
+	}
+	c := checkpoint{Revision: set.Revision, Digest: digestText(set), Data: data}
+	if len(data) > inlineBytes {
+		c.Data = nil
+		if c.Parts, err = s.storeParts(ctx, set.Revision, data); err != nil {
+			return err
+		}
+	}
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	_, err = s.Platform.Create(ctx, checkpointKey(set.Revision), raw)
+	if codeOf(err) == core.CodeConflict {
+		// The other writer has stored the same set.
+		return nil
+	}
+	return err
+}
+
+// storeParts writes the parts under keys of this process, so that parts of two writers never mix.
+func (s *service) storeParts(ctx context.Context, revision core.Revision, data []byte) ([]string, error) {
+	var keys []string
+	for at := 0; at < len(data); at += partBytes {
+		key := fmt.Sprintf("%s%020d/%s-%d/%04d", partsPrefix, revision, s.Identity.VM, s.Identity.Incarnation, len(keys))
+		_, err := s.Platform.Create(ctx, key, data[at:min(at+partBytes, len(data))])
+		if err != nil && codeOf(err) != core.CodeConflict {
+			return nil, err
+		}
+		keys = append(keys, key)
+	}
+	return keys, nil
+}
+
+// storeLatest moves the hint forward. A conflict means that the other writer moved it.
+func (s *service) storeLatest(ctx context.Context, l latest, version uint64) error {
+	raw, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	if version == 0 {
+		_, err = s.Platform.Create(ctx, latestKey, raw)
+		return err
+	}
+	_, err = s.Platform.Update(ctx, latestKey, raw, version)
+	return err
+}
--- /dev/null
+++ b/plugins/configuration/log/log.go
@@ -0,0 +1,144 @@
+// Package log is the plug-in that keeps the configuration as a change log on the platform. Few VMs watch the log; the
+// others get changes from their peers. It also serves the operations that change the configuration.
+package log
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"gooseberrylane.example/coord/config"
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind: kinds.ConfigurationKind, Name: "log",
+		Settings: func() any { return defaultSettings() },
+		Options: func(s any) fx.Option {
+			return fx.Provide(func(lc fx.Lifecycle, p params) (kinds.Configuration, kinds.Operations) {
+				service := newService(lc, p, s.(*Settings))
+				return service, service
+			})
+		},
+	})
+}
+
+const (
+	defaultWatchMS     = 10_000
+	defaultCompareMS   = 1000
+	defaultStaleMS     = 45_000
+	defaultStartMS     = 1000
+	defaultProgressMS  = 1000
+	defaultKeepChanges = 1024
+	// inboxLength bounds the messages that wait for the loop. Further ones are dropped; comparing repairs the loss.
+	inboxLength = 1024
+)
+
+// Settings of the plug-in.
+type Settings struct {
+	// WatchMS is the time that one watch waits at the platform, in milliseconds. Default 10000.
+	WatchMS int64 `json:"watch_ms" validate:"gte=10,lte=60000"`
+	// CompareMS is the mean time between two comparisons of revisions with a peer, in milliseconds. Default 1000.
+	CompareMS int64 `json:"compare_ms" validate:"gte=5,lte=60000"`
+	// StaleAfterMS is the time without news of the platform, own or through peers, after which the configuration is
+	// reported as stale, in milliseconds. Default 45000.
+	StaleAfterMS int64 `json:"stale_after_ms" validate:"gte=50,lte=3600000"`
+	// StartMS bounds the wait for the platform and the peers before the first configuration set is chosen, in
+	// milliseconds. Default 1000.
+	StartMS int64 `json:"start_ms" validate:"gte=10,lte=60000"`
+	// ProgressMS bounds the wait for the answers of the VMs about their revision, in milliseconds. Default 1000.
+	ProgressMS int64 `json:"progress_ms" validate:"gte=10,lte=60000"`
+	// KeepChanges is the number of applied changes that are kept for peers. Default 1024.
+	KeepChanges int `json:"keep_changes" validate:"gte=1,lte=1000000"`
+}
+
+func defaultSettings() *Settings {
+	return &Settings{
+		WatchMS: defaultWatchMS, CompareMS: defaultCompareMS, StaleAfterMS: defaultStaleMS, StartMS: defaultStartMS,
+		ProgressMS: defaultProgressMS, KeepChanges: defaultKeepChanges,
+	}
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+type params struct {
+	fx.In
+	Identity kernel.Identity
+	State    *kernel.State
+	Clock    kernel.Clock
+	Random   *kernel.Random
+	Log      *slog.Logger
+	Platform kinds.Platform
+	Peers    kinds.Peers
+}
+
+// service is the configuration of one VM.
+type service struct {
+	params
+	settings *Settings
+
+	// mu orders changes of the log and their publication. The path of a request never takes it.
+	mu  sync.Mutex
+	log *config.Log
+	// open is true once the set of the log is published; before, the highest offered revision is being looked for.
+	open bool
+	// fresh is the latest time at which the current set was known to be the head of the log.
+	fresh time.Time
+	// told holds the revisions that peers reported before open.
+	told map[core.VMName]core.Revision
+	// loaded is true once the log on the platform has been read to its end.
+	loaded bool
+
+	// heard is signalled when told changed.
+	heard    chan struct{}
+	inbox    chan inbound
+	partners atomic.Pointer[partnerList]
+	sequence atomic.Uint64
+	asks     sync.Map
+	// checkpointed is the revision of the last known checkpoint; only the goroutine of follow uses it.
+	checkpointed core.Revision
+
+	base   context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+func newService(lc fx.Lifecycle, p params, settings *Settings) *service {
+	s := &service{
+		params: p, settings: settings, log: config.NewLog(settings.KeepChanges), told: make(map[core.VMName]core.Revision),
+		heard: make(chan struct{}, 1), inbox: make(chan inbound, inboxLength),
+	}
+	s.base, s.cancel = context.WithCancel(context.Background())
+	s.handleMessages()
+	lc.Append(fx.Hook{OnStart: s.start, OnStop: s.stop})
+	return s
+}
+
+func (s *service) start(context.Context) error {
+	s.work.Go(s.serveInbox)
+	s.work.Go(s.follow)
+	return nil
+}
+
+func (s *service) stop(context.Context) error {
+	s.cancel()
+	s.work.Wait()
+	return nil
+}
+
+// Revision implements kinds.Configuration.
+func (s *service) Revision() core.Revision { return s.State.Load().Config.Revision }
+
+// held returns the revision of the log, which is ahead of the published one only before the first publication.
+func (s *service) held() core.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log.Revision()
+}
--- /dev/null
+++ b/plugins/configuration/log/messages.go
@@ -0,0 +1,100 @@
+package log
+
+import (
+	"time"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+// revisionMessage compares revisions. Whoever is behind gets the changes or asks for them.
+type revisionMessage struct {
+	Revision core.Revision
+	// NewsAgeMS is the time since the platform was known to have no later revision, in milliseconds; -1 means never.
+	NewsAgeMS int64
+	// Reply asks for an answer even if the revisions are equal.
+	Reply bool
+}
+
+// changesMessage carries changes in order, each encoded as on the platform.
+type changesMessage struct {
+	// Head is the revision of the sender.
+	Head    core.Revision
+	Changes [][]byte
+}
+
+// changesRequest asks for the changes after a revision.
+type changesRequest struct {
+	After core.Revision
+}
+
+// setMessage carries a whole set to a VM that is too far behind for single changes.
+type setMessage struct {
+	Revision core.Revision
+	Data     []byte
+}
+
+// progressRequest asks for the revision in force.
+type progressRequest struct {
+	ID uint64
+}
+
+// progressAnswer tells the revision in force.
+type progressAnswer struct {
+	ID       uint64
+	Revision core.Revision
+}
+
+// MessageName implements kinds.Message.
+func (revisionMessage) MessageName() string { return "config_revision" }
+
+// MessageName implements kinds.Message.
+func (changesMessage) MessageName() string { return "config_changes" }
+
+// MessageName implements kinds.Message.
+func (changesRequest) MessageName() string { return "config_changes_request" }
+
+// MessageName implements kinds.Message.
+func (setMessage) MessageName() string { return "config_set" }
+
+// MessageName implements kinds.Message.
+func (progressRequest) MessageName() string { return "config_progress_request" }
+
+// MessageName implements kinds.Message.
+func (progressAnswer) MessageName() string { return "config_progress_answer" }
+
+// inbound is a message with its sender.
+type inbound struct {
+	from core.VM
+	m    kinds.Message
+}
+
+func (s *service) handleMessages() {
+	for _, prototype := range []kinds.Message{revisionMessage{}, changesMessage{}, changesRequest{}, setMessage{}, progressRequest{}} {
+		s.Peers.Handle(prototype, func(from core.VM, m kinds.Message) {
+			select {
+			case s.inbox <- inbound{from: from, m: m}:
+			default:
+			}
+		})
+	}
+	s.Peers.Handle(progressAnswer{}, s.onProgressAnswer)
+	s.Peers.OnLinkDown(s.onLinkDown)
+}
+
+func (s *service) ownRevision(reply bool) revisionMessage {
+	age := s.newsAge()
+	m := revisionMessage{Revision: s.held(), NewsAgeMS: age.Milliseconds(), Reply: reply}
+	if age < 0 {
+		m.NewsAgeMS = -1
+	}
+	return m
+}
+
+// news returns the time of the news that a message tells, or false when it tells none.
+func (m *revisionMessage) news(now time.Time) (time.Time, bool) {
+	if m.NewsAgeMS < 0 {
+		return time.Time{}, false
+	}
+	return now.Add(-millis(m.NewsAgeMS)), true
+}
--- /dev/null
+++ b/plugins/configuration/log/store.go
@@ -0,0 +1,119 @@
+package log
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"gooseberrylane.example/coord/config"
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+// Keys on the platform. Revisions are padded with zeros, so that the order of keys is the order of revisions.
+const (
+	changesPrefix     = "config/changes/"
+	plansPrefix       = "config/plans/"
+	checkpointsPrefix = "config/checkpoints/"
+	partsPrefix       = "config/checkpoint-parts/"
+	// latestKey names the last checkpoint. It is a hint: an old one only makes the replay longer.
+	latestKey = "config/latest-checkpoint"
+)
+
+// maxSetBytes bounds the decoded size of a set.
+const maxSetBytes = 256 << 20
+
+func changeKey(r core.Revision) string     { return fmt.Sprintf("%s%020d", changesPrefix, r) }
+func checkpointKey(r core.Revision) string { return fmt.Sprintf("%s%020d", checkpointsPrefix, r) }
+func planKey(id config.PlanID) string      { return plansPrefix + string(id) }
+
+// codeOf returns the result code of an error of the platform.
+func codeOf(err error) core.Code {
+	var coded *core.Error
+	switch {
+	case err == nil:
+		return core.CodeOK
+	case errors.As(err, &coded):
+		return coded.Code
+	default:
+		return core.CodeInternal
+	}
+}
+
+func encodeChange(change *config.Change) ([]byte, error) { return json.Marshal(change) }
+
+func decodeChange(raw []byte) (config.Change, error) {
+	var change config.Change
+	err := json.Unmarshal(raw, &change)
+	return change, err
+}
+
+// encodeSet returns a set as compressed JSON.
+func encodeSet(set *core.ConfigSet) ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if err := json.NewEncoder(w).Encode(set); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+func decodeSet(data []byte) (*core.ConfigSet, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxSetBytes))
+	if err != nil {
+		return nil, err
+	}
+	var set core.ConfigSet
+	if err := json.Unmarshal(raw, &set); err != nil {
+		return nil, err
+	}
+	return &set, nil
+}
+
+// read returns an object. A read may be stale, so an object that seems to be absent is looked for a second time with a
+// list.
+func (s *service) read(ctx context.Context, key string) (kinds.Object, error) {
+	object, err := s.Platform.Get(ctx, key)
+	if codeOf(err) != core.CodeNotFound {
+		return object, err
+	}
+	listed, err := s.Platform.List(ctx, key, "", 1)
+	if err != nil {
+		return kinds.Object{}, err
+	}
+	if len(listed) == 0 || listed[0].Key != key {
+		return kinds.Object{}, core.Errorf(core.CodeNotFound, "no object %s", key)
+	}
+	return listed[0], nil
+}
+
+// decodeListed decodes changes of a list or a watch. It stops at the first that does not match its key, because
+// everything after it would be a gap.
+func (s *service) decodeListed(objects []kinds.Object) []config.Change {
+	changes := make([]config.Change, 0, len(objects))
+	for _, object := range objects {
+		change, err := decodeChange(object.Value)
+		if err != nil || changeKey(change.Revision) != object.Key {
+			s.Log.Error("config_change_refused", "source", sourcePlatform, "key", object.Key)
+			break
+		}
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+func validPlanID(id config.PlanID) bool {
+	return config.ValidName(string(id)) && !strings.Contains(string(id), "..")
+}
--- a/plugins/membership/static/static.go
+++ b/plugins/membership/static/static.go
@@ -98,7 +98,6 @@
 		}
 		v.Members = &core.Members{Self: self, All: all}
 		v.Ownership = ownership.Assign(v.Config, v.Members)
-		v.Ready = v.Config.Revision > 0
 	})
 }
 
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -3,6 +3,7 @@
 
 import (
 	_ "gooseberrylane.example/plugins/admission/open"
+	_ "gooseberrylane.example/plugins/configuration/log"
 	_ "gooseberrylane.example/plugins/configuration/static"
 	_ "gooseberrylane.example/plugins/dispatch/owner"
 	_ "gooseberrylane.example/plugins/engine/standard"
--- /dev/null
+++ b/test/configuration/configuration_test.go
@@ -0,0 +1,284 @@
+package configuration
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/coord/config"
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/standins/platform"
+)
+
+func codeOf(err error) core.Code {
+	var coded *core.Error
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	return core.CodeOK
+}
+
+// TestChangeReachesAllVMsWithFewWatches guards against a change that stays where it was confirmed, and against one
+// watch per VM.
+func TestChangeReachesAllVMsWithFewWatches(t *testing.T) {
+	const vms, changes = 12, 20
+	cl := newCluster(t, vms)
+	cl.startAll()
+	for i := range changes {
+		change := cl.apply(cl.vms[i%vms], fmt.Sprintf("service-%d", i))
+		cl.awaitAll(change.Revision)
+	}
+	progress, err := cl.vms[0].operations.Progress(cl.ctx, changes)
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(progress.InForce, qt.HasLen, vms)
+	cl.c.Assert(progress.Unreachable, qt.HasLen, 0)
+	watches := cl.platform.Counts().Watches
+	watchers := uint64(3 * config.WatchersPerDomain)
+	// Each watcher renews its watch once per change. One watch per VM would need twice as many.
+	cl.c.Assert(watches <= watchers*(changes+1), qt.IsTrue, qt.Commentf("%d watches", watches))
+	cl.checkLogs()
+}
+
+// TestStaleReadsCannotRevert guards against a VM that goes back, or a change that is lost, when the platform answers
+// reads with old states.
+func TestStaleReadsCannotRevert(t *testing.T) {
+	cl := newCluster(t, 3)
+	cl.startAll()
+	cl.platform.SetFaults(platform.Faults{StaleShare: 0.9, LostAnswerShare: 0.3})
+	const changes = 30
+	for i := range changes {
+		v := cl.vms[i%3]
+		plan, err := v.operations.Plan(cl.ctx, put(fmt.Sprintf("service-%d", i)))
+		cl.c.Assert(err, qt.IsNil)
+		for {
+			change, err := cl.vms[(i+1)%3].operations.Confirm(cl.ctx, plan.ID, "op")
+			if codeOf(err) == core.CodeNotKnownYet {
+				continue
+			}
+			cl.c.Assert(err, qt.IsNil)
+			cl.c.Assert(change.Revision, qt.Equals, core.Revision(i+1))
+			break
+		}
+	}
+	cl.awaitAll(changes)
+	history, err := cl.vms[0].operations.History(cl.ctx, 0, 100)
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(history, qt.HasLen, changes)
+	cl.checkLogs()
+}
+
+// TestEmptyVMTakesSetFromPeers guards against a replaced VM that cannot serve while the platform is down.
+func TestEmptyVMTakesSetFromPeers(t *testing.T) {
+	cl := newCluster(t, 4)
+	for i := range 3 {
+		cl.start(i, cl.platform.Address())
+	}
+	for i := range 5 {
+		cl.apply(cl.vms[0], fmt.Sprintf("service-%d", i))
+	}
+	cl.awaitAll(5)
+	cl.platform.SetFaults(platform.Faults{Down: true})
+	late := cl.start(3, cl.platform.Address())
+	cl.awaitAll(5)
+	cl.c.Assert(late.app.State.Load().Config.Services, qt.HasLen, 5)
+	_, err := late.operations.Plan(cl.ctx, put("more"))
+	cl.c.Assert(codeOf(err), qt.Equals, core.CodePlatformUnavailable)
+	cl.platform.SetFaults(platform.Faults{})
+	cl.checkLogs()
+}
+
+// TestVMFarBehindTakesWholeSet guards against a VM that waits forever for changes that its peers no longer keep.
+func TestVMFarBehindTakesWholeSet(t *testing.T) {
+	cl := newCluster(t, 2)
+	cl.settings["keep_changes"] = 1
+	first := cl.start(0, cl.platform.Address())
+	for i := range 8 {
+		cl.apply(first, fmt.Sprintf("service-%d", i))
+	}
+	late := cl.start(1, deadAddress)
+	cl.awaitAll(8)
+	cl.c.Assert(late.app.State.Load().Config.Services, qt.HasLen, 8)
+	cl.checkLogs()
+}
+
+// TestVMAloneStaysNotReady guards against a VM that takes work with an empty configuration because it could ask nobody.
+func TestVMAloneStaysNotReady(t *testing.T) {
+	cl := newCluster(t, 1)
+	change := cl.apply(cl.start(0, cl.platform.Address()), "service")
+	cl.platform.SetFaults(platform.Faults{Down: true})
+	// The second application is another VM that knows nobody.
+	cl.members = []map[string]string{{"name": "alone", "failure_domain": "fd-0", "peer_address": freeAddress(cl.c)}}
+	alone := cl.start(0, cl.platform.Address())
+	cl.awaitEvent(alone, "config_waiting")
+	cl.c.Assert(alone.app.State.Load().Ready, qt.IsFalse)
+	cl.c.Assert(alone.app.State.Load().Config.Revision, qt.Equals, core.Revision(0))
+	_, err := alone.operations.Plan(cl.ctx, put("more"))
+	cl.c.Assert(codeOf(err), qt.Equals, core.CodePlatformUnavailable)
+	cl.platform.SetFaults(platform.Faults{})
+	cl.awaitAll(change.Revision)
+}
+
+// TestVMCutOffFromPlatformGetsChange guards against a VM that serves an old configuration although its peers have the
+// new one, and against one that confirms without the platform.
+func TestVMCutOffFromPlatformGetsChange(t *testing.T) {
+	cl := newCluster(t, 4)
+	// All VMs of fd-1 are cut off, so no watcher of that domain reaches the platform.
+	for i := range 4 {
+		address := cl.platform.Address()
+		if cl.members[i]["failure_domain"] == "fd-1" {
+			address = deadAddress
+		}
+		cl.start(i, address)
+	}
+	plan, err := cl.vms[0].operations.Plan(cl.ctx, put("one"))
+	cl.c.Assert(err, qt.IsNil)
+	_, err = cl.vms[1].operations.Confirm(cl.ctx, plan.ID, "op")
+	cl.c.Assert(codeOf(err), qt.Equals, core.CodePlatformUnavailable)
+	for i := range 5 {
+		cl.awaitAll(cl.apply(cl.vms[0], fmt.Sprintf("service-%d", i)).Revision)
+	}
+	cl.checkLogs()
+}
+
+// TestConfirmCodes guards against a confirm that hides why it was refused, and against a second effect.
+func TestConfirmCodes(t *testing.T) {
+	cl := newCluster(t, 2)
+	cl.startAll()
+	v, other := cl.vms[0], cl.vms[1]
+	_, err := v.operations.Confirm(cl.ctx, "no-such-plan", "op")
+	cl.c.Assert(codeOf(err), qt.Equals, core.CodePlanNotFound)
+	_, err = v.operations.Plan(cl.ctx, config.Intent{Operator: "op", Operations: []config.Operation{{DeleteService: "absent"}}})
+	cl.c.Assert(codeOf(err), qt.Equals, core.CodeInvalidIntent)
+	first, err := v.operations.Plan(cl.ctx, put("first"))
+	cl.c.Assert(err, qt.IsNil)
+	second, err := v.operations.Plan(cl.ctx, put("second"))
+	cl.c.Assert(err, qt.IsNil)
+	change, err := v.operations.Confirm(cl.ctx, first.ID, "op")
+	cl.c.Assert(err, qt.IsNil)
+	_, err = other.operations.Confirm(cl.ctx, second.ID, "op")
+	cl.c.Assert(codeOf(err), qt.Equals, core.CodeBaseMoved)
+	third, err := v.operations.Plan(cl.ctx, put("third"))
+	cl.c.Assert(err, qt.IsNil)
+	cl.clock.shift(config.PlanLifetime + time.Second)
+	_, err = v.operations.Confirm(cl.ctx, third.ID, "op")
+	cl.c.Assert(codeOf(err), qt.Equals, core.CodePlanExpired)
+	again, err := other.operations.Confirm(cl.ctx, first.ID, "someone-else")
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(again, qt.DeepEquals, change)
+	history, err := other.operations.History(cl.ctx, 0, 10)
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(history, qt.DeepEquals, []config.Change{change})
+}
+
+// TestUnreadableOutcomeIsNotKnownYet guards against a confirm that claims an outcome that it cannot know, and against a
+// second effect when it is repeated.
+func TestUnreadableOutcomeIsNotKnownYet(t *testing.T) {
+	cl := newCluster(t, 1)
+	var calls sync.RWMutex
+	var cut, healed atomic.Bool
+	forward := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: cl.platform.Address()})
+	// The write of the change reaches the platform; its answer and every later call are lost. No other call is under way
+	// then, and watches never work, so that nothing else can tell the outcome.
+	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut && strings.Contains(r.URL.Path, "/config/changes/") && !cut.Load() {
+			calls.Lock()
+			cut.Store(true)
+			forward.ServeHTTP(httptest.NewRecorder(), r)
+			calls.Unlock()
+		}
+		calls.RLock()
+		defer calls.RUnlock()
+		if r.URL.Path == "/v1/watch" || (cut.Load() && !healed.Load()) {
+			panic(http.ErrAbortHandler)
+		}
+		forward.ServeHTTP(w, r)
+	}))
+	t.Cleanup(proxy.CloseClientConnections)
+	v := cl.start(0, proxy.Listener.Addr().String())
+	plan, err := v.operations.Plan(cl.ctx, put("one"))
+	cl.c.Assert(err, qt.IsNil)
+	_, err = v.operations.Confirm(cl.ctx, plan.ID, "op")
+	cl.c.Assert(codeOf(err), qt.Equals, core.CodeNotKnownYet)
+	cl.c.Assert(cl.platform.Keys("config/changes/"), qt.HasLen, 1)
+	healed.Store(true)
+	change, err := v.operations.Confirm(cl.ctx, plan.ID, "op")
+	for codeOf(err) == core.CodePlatformUnavailable {
+		change, err = v.operations.Confirm(cl.ctx, plan.ID, "op")
+	}
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(change.Revision, qt.Equals, core.Revision(1))
+	cl.c.Assert(cl.platform.Keys("config/changes/"), qt.HasLen, 1)
+}
+
+// TestProgressNamesSilentVMs guards against a report that counts a VM as served that did not answer.
+func TestProgressNamesSilentVMs(t *testing.T) {
+	cl := newCluster(t, 4)
+	for i := range 3 {
+		cl.start(i, cl.platform.Address())
+	}
+	cl.awaitAll(cl.apply(cl.vms[0], "service").Revision)
+	progress, err := cl.vms[0].operations.Progress(cl.ctx, 2)
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(progress, qt.DeepEquals, config.Progress{
+		Revision: 2, Behind: []core.VMName{"vm-0", "vm-1", "vm-2"}, Unreachable: []core.VMName{"vm-3"},
+	})
+}
+
+// TestStaleIsReportedAndEnds guards against answers that hide that the configuration may be old, and against VMs that
+// do not come back when the platform does.
+func TestStaleIsReportedAndEnds(t *testing.T) {
+	cl := newCluster(t, 4)
+	cl.settings["watch_ms"], cl.settings["stale_after_ms"] = 100, 1000
+	cl.startAll()
+	cl.awaitAll(cl.apply(cl.vms[0], "service").Revision)
+	awaitStale := func(stale bool) {
+		for _, v := range cl.vms {
+			cl.await(v, fmt.Sprintf("stale %t", stale), func(view *core.View) bool { return view.Stale == stale })
+		}
+	}
+	awaitStale(false)
+	cl.platform.SetFaults(platform.Faults{Down: true})
+	awaitStale(true)
+	for _, v := range cl.vms {
+		view := v.app.State.Load()
+		cl.c.Check(view.Ready, qt.IsTrue)
+		cl.c.Check(view.PlatformSince.IsZero(), qt.IsFalse)
+	}
+	cl.platform.SetFaults(platform.Faults{})
+	awaitStale(false)
+}
+
+// TestStartFromCheckpoint guards against a replay that grows with the whole history, and against checkpoints that are
+// never written.
+func TestStartFromCheckpoint(t *testing.T) {
+	cl := newCluster(t, 2)
+	cl.settings["watch_ms"] = 50
+	v := cl.start(0, cl.platform.Address())
+	const changes = config.CheckpointEvery + 6
+	for i := range changes {
+		cl.apply(v, fmt.Sprintf("service-%d", i))
+	}
+	cl.awaitEvent(v, "config_checkpoint_written")
+	written, _ := v.log.events("config_checkpoint_written")
+	// Without the changes up to the checkpoint, only the checkpoint can give their content.
+	for _, key := range cl.platform.Keys("config/changes/")[:int(written[0]["revision"].(float64))] {
+		object, err := v.platform.Get(cl.ctx, key)
+		cl.c.Assert(err, qt.IsNil)
+		cl.c.Assert(v.platform.Delete(cl.ctx, key, object.Version), qt.IsNil)
+	}
+	cl.c.Assert(v.app.Stop(cl.ctx), qt.IsNil)
+	late := cl.start(1, cl.platform.Address())
+	cl.await(late, "the head", func(view *core.View) bool { return view.Ready && view.Config.Revision == changes })
+	cl.c.Assert(late.app.State.Load().Config.Services, qt.HasLen, changes)
+	cl.checkLogs()
+}
