Use the shared seed and addresses that no connection can take in the configuration tests

Cause: a port of 127.0.0.1 that is free when it is reserved can be taken by an outgoing connection before the VM listens, and the seed of properties is now fixed in one place. Checked with go test ./coord/config ./test/configuration.

--- a/coord/config/generate_test.go
+++ b/coord/config/generate_test.go
@@ -2,35 +2,15 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
-	"testing"
 
 	"pgregory.net/rapid"
 
 	"gooseberrylane.example/core"
+	_ "gooseberrylane.example/test/seed"
 )
 
-// TestMain fixes the seed of the properties; -rapid.seed on the command line goes before it.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
-		}
-	}
-	// Failing draws are printed; files of them would end up in the repository.
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
-	}
-	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
-
 // validRule returns a rule that passes every check.
 func validRule() core.Rule {
 	return core.Rule{DefaultDeadlineMS: 100, MaxDeadlineMS: 1000, VersionRule: core.VersionNewest}
--- a/test/configuration/cluster_test.go
+++ b/test/configuration/cluster_test.go
@@ -6,8 +6,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,17 +82,21 @@
 	c.Cleanup(func() { c.Check(cl.platform.Stop(), qt.IsNil) })
 	for i := range n {
 		cl.members = append(cl.members, map[string]string{
-			"name": fmt.Sprintf("vm-%d", i), "failure_domain": fmt.Sprintf("fd-%d", i%3), "peer_address": freeAddress(c),
+			"name": fmt.Sprintf("vm-%d", i), "failure_domain": fmt.Sprintf("fd-%d", i%3), "peer_address": peerAddress(),
 		})
 	}
 	return cl
 }
 
-func freeAddress(c *qt.C) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+const peerPort = 7103
+
+var lastAddress atomic.Uint32
+
+// peerAddress returns an address of the loopback range that is used once and only by this process. A port of 127.0.0.1
+// that is free now could be taken by an outgoing connection before the VM listens.
+func peerAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+(pid>>8)%254, pid%256, 1+lastAddress.Add(1)%254, peerPort)
 }
 
 // start starts VM i with a platform address.
--- a/test/configuration/configuration_test.go
+++ b/test/configuration/configuration_test.go
@@ -117,7 +117,7 @@
 	change := cl.apply(cl.start(0, cl.platform.Address()), "service")
 	cl.platform.SetFaults(platform.Faults{Down: true})
 	// The second application is another VM that knows nobody.
-	cl.members = []map[string]string{{"name": "alone", "failure_domain": "fd-0", "peer_address": freeAddress(cl.c)}}
+	cl.members = []map[string]string{{"name": "alone", "failure_domain": "fd-0", "peer_address": peerAddress()}}
 	alone := cl.start(0, cl.platform.Address())
 	cl.awaitEvent(alone, "config_waiting")
 	cl.c.Assert(alone.app.State.Load().Ready, qt.IsFalse)
