--- a/plugins/executor/slots/target_test.go
+++ b/plugins/executor/slots/target_test.go
@@ -75,6 +75,9 @@
 			}
 		})
 	}
+	// Both slots are in use before the first leg ends, whatever the order of the goroutines.
+	<-pool.entered
+	<-pool.entered
 	for range 200 {
 		pool.finish <- ok
 	}
