Add the load tool with its scenarios, checks and bounds

The tool starts the stand-ins and the daemons of two sides as processes, offers open-loop load in slices that take turns on the same stand-ins and seed, and checks every answer against what the upstreams hold.

--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,11 @@
 # format rewrites all Go files.
 format:
 	go tool -modfile=tools/go.mod gofumpt -w .
+
+# bench runs the scenarios of both deployments and fails when a figure is past its bound.
+BENCH_SCENARIOS = steady,stragglers,replica-loss,shed,cold-start,drain,repartition,silent,partition,platform-down,vm-replacement,overload
+
+.PHONY: bench
+bench:
+	go run ./bench -deployment directorate -scenario $(BENCH_SCENARIOS) -bounds bench/bounds.json -format table
+	go run ./bench -deployment pukk -scenario $(BENCH_SCENARIOS) -bounds bench/bounds.json -format table
--- /dev/null
+++ b/bench/fleet.go
@@ -0,0 +1,296 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gooseberrylane.example/standins/control"
+	"gooseberrylane.example/standins/deployment"
+	"gooseberrylane.example/standins/platform"
+	"gooseberrylane.example/test/faultproxy"
+)
+
+const (
+	startAtOnce  = 8
+	readyPoll    = 50 * time.Millisecond
+	balancerPoll = 250 * time.Millisecond
+	balancerLag  = 1000 * time.Millisecond
+)
+
+// vm is one entry VM: a daemon process behind a proxy for its peers.
+type vm struct {
+	name   string
+	domain int
+	ip     string
+	proxy  *faultproxy.Proxy
+	proc   *process
+	// serving is what the balancer believes; ending is set while the process is stopped on purpose.
+	serving, ending atomic.Bool
+}
+
+func (v *vm) address(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
+
+// fleet is one side of a comparison: its VMs and its platform.
+type fleet struct {
+	name       string
+	side       int
+	policy     policy
+	binaries   *binaries
+	world      *world
+	deployment *deployment.Deployment
+	seed       uint64
+
+	platform        *process
+	platformAddress string
+	platformControl control.Client
+	platformProxies []*faultproxy.Proxy
+	vms             []*vm
+	plugins         map[string]string
+	// replaced counts planned replacements of VMs.
+	replaced int
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// startFleet starts the platform and the VMs of one side and waits until all are ready.
+func startFleet(ctx context.Context, w *world, side int, name string, p policy, b *binaries, vms int) (*fleet, error) {
+	f := &fleet{name: name, side: side, policy: p, binaries: b, world: w, deployment: w.deployment, seed: w.options.seed}
+	if err := f.startPlatform(ctx); err != nil {
+		return nil, err
+	}
+	if err := f.choosePlugins(); err != nil {
+		return nil, err
+	}
+	if err := f.defineVMs(vms); err != nil {
+		return nil, err
+	}
+	if err := f.publishVMs(ctx); err != nil {
+		return nil, err
+	}
+	if err := f.publishConfiguration(ctx); err != nil {
+		return nil, err
+	}
+	if err := f.startVMs(ctx); err != nil {
+		return nil, err
+	}
+	var watch context.Context
+	watch, f.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	f.done.Go(func() { f.balance(watch) })
+	return f, nil
+}
+
+func (f *fleet) startPlatform(ctx context.Context) error {
+	var err error
+	f.platform, err = f.world.starter.start(f.name+"-platform", f.world.folder, standInEnv, f.world.binaries.platform, "-seed", fmt.Sprint(f.seed))
+	if err != nil {
+		return err
+	}
+	var greeting struct{ Control, Platform string }
+	if err := f.platform.greeting(ctx, &greeting); err != nil {
+		return err
+	}
+	f.platformAddress = greeting.Platform
+	f.platformControl = control.Client{Address: greeting.Control}
+	for domain := range domainCount {
+		listen := fmt.Sprintf("%s:%d", f.world.network.ip(f.side, domain, platformHost), platformPort)
+		proxy, err := faultproxy.Listen(listen, greeting.Platform)
+		if err != nil {
+			return err
+		}
+		f.platformProxies = append(f.platformProxies, proxy)
+	}
+	return nil
+}
+
+func (f *fleet) defineVMs(n int) error {
+	for i := range n {
+		domain := i % domainCount
+		v := &vm{name: fmt.Sprintf("vm-%02d", i+1), domain: domain, ip: f.world.network.ip(f.side, domain, i/domainCount+1)}
+		proxy, err := faultproxy.Listen(v.address(peerProxy), v.address(peerPort))
+		if err != nil {
+			return err
+		}
+		proxy.SetRuleFunc(func(client netip.Addr) faultproxy.Rule { return f.world.network.rule(client, domain) })
+		v.proxy = proxy
+		f.vms = append(f.vms, v)
+	}
+	return nil
+}
+
+// publishVMs tells the platform which VMs there are.
+func (f *fleet) publishVMs(ctx context.Context) error {
+	listed := make([]platform.VM, len(f.vms))
+	for i, v := range f.vms {
+		listed[i] = platform.VM{Name: v.name, Domain: domainName(v.domain), PeerAddress: v.proxy.Address(), Leaving: v.ending.Load()}
+	}
+	return f.platformControl.Call(ctx, "/v1/vms", listed, nil)
+}
+
+func (f *fleet) startVMs(ctx context.Context) error {
+	limit := make(chan struct{}, startAtOnce)
+	failures := make(chan error, len(f.vms))
+	for _, v := range f.vms {
+		go func() {
+			limit <- struct{}{}
+			defer func() { <-limit }()
+			failures <- f.startVM(ctx, v)
+		}()
+	}
+	var errs []error
+	for range f.vms {
+		errs = append(errs, <-failures)
+	}
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	for _, v := range f.vms {
+		if err := f.awaitReady(ctx, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) startVM(ctx context.Context, v *vm) error {
+	settings, err := f.settings(v)
+	if err != nil {
+		return err
+	}
+	name := f.name + "-" + v.name
+	path := filepath.Join(f.world.folder, name+".json")
+	if err := os.WriteFile(path, settings, 0o644); err != nil {
+		return err
+	}
+	if err := v.proxy.Open(); err != nil {
+		return err
+	}
+	v.proc, err = f.world.starter.start(name, f.world.folder, daemonEnv, f.binaries.daemon, "-settings", path)
+	if err != nil {
+		return err
+	}
+	v.ending.Store(false)
+	return ctx.Err()
+}
+
+// awaitReady waits until a VM answers that it is ready.
+func (f *fleet) awaitReady(ctx context.Context, v *vm) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !f.isReady(ctx, v) {
+		select {
+		case <-ticker.C:
+		case <-v.proc.ended:
+			return fmt.Errorf("%s ended at its start: %w; see its log", v.proc.name, v.proc.err)
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready: %w", v.proc.name, ctx.Err())
+		}
+	}
+	v.serving.Store(true)
+	return nil
+}
+
+func (f *fleet) isReady(ctx context.Context, v *vm) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.address(callerPort)+"/v1/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := f.world.probes.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// balance does what the platform's balancer does: it asks each VM whether it is ready and sends work to those that are.
+func (f *fleet) balance(ctx context.Context) {
+	ticker := time.NewTicker(balancerPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		var work sync.WaitGroup
+		for _, v := range f.vms {
+			work.Go(func() { v.serving.Store(f.isReady(ctx, v)) })
+		}
+		work.Wait()
+	}
+}
+
+// choose returns a serving VM by a number that the query carries; later attempts take the next ones.
+func (f *fleet) choose(number uint64, attempt int) *vm {
+	n := uint64(len(f.vms))
+	start := (number + uint64(attempt)) % n
+	for i := range n {
+		if v := f.vms[(start+i)%n]; v.serving.Load() {
+			return v
+		}
+	}
+	return f.vms[start]
+}
+
+// replace ends a VM as planned and starts its successor under the same name.
+func (f *fleet) replace(ctx context.Context, v *vm) error {
+	v.ending.Store(true)
+	if err := f.publishVMs(ctx); err != nil {
+		return err
+	}
+	v.proc.stop()
+	if err := v.proxy.Refuse(); err != nil {
+		return err
+	}
+	if err := f.startVM(ctx, v); err != nil {
+		return err
+	}
+	if err := f.publishVMs(ctx); err != nil {
+		return err
+	}
+	return f.awaitReady(ctx, v)
+}
+
+// stop ends the processes of the side and returns an error for each VM that did not stop by itself.
+func (f *fleet) stop() error {
+	if f.cancel != nil {
+		f.cancel()
+	}
+	f.done.Wait()
+	var work sync.WaitGroup
+	errs := make([]error, len(f.vms))
+	for i, v := range f.vms {
+		if v.proc == nil {
+			continue
+		}
+		work.Go(func() {
+			v.proc.stop()
+			if v.proc.err != nil {
+				errs[i] = fmt.Errorf("%s: %w", v.proc.name, v.proc.err)
+			}
+		})
+	}
+	work.Wait()
+	if f.platform != nil {
+		f.platform.stop()
+	}
+	for _, v := range f.vms {
+		errs = append(errs, v.proxy.Close())
+	}
+	for _, proxy := range f.platformProxies {
+		errs = append(errs, proxy.Close())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/bench/record.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/standins/upstream"
+)
+
+// Range and precision of the latency histograms, in microseconds.
+const (
+	minLatencyUS    = 1
+	maxLatencyUS    = int64(60 * time.Second / time.Microsecond)
+	latencyDigits   = 3
+	maxWrongSamples = 5
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(minLatencyUS, maxLatencyUS, latencyDigits)
+}
+
+func record(h *hdrhistogram.Histogram, took time.Duration) {
+	// The value is clamped to the range, so it cannot be refused.
+	_ = h.RecordValue(min(max(took.Microseconds(), minLatencyUS), maxLatencyUS))
+}
+
+// serviceRecord is what one side did for one service.
+type serviceRecord struct {
+	offered, inDeadline uint64
+}
+
+// sideRecord collects what one side did over all its slices.
+type sideRecord struct {
+	mu       sync.Mutex
+	services map[core.ServiceName]*serviceRecord
+
+	all, fanOut, lookUp, settled *hdrhistogram.Histogram
+	measured                     time.Duration
+
+	queries, answered, refused, noAnswer, notSent, cutOff, resent uint64
+	complete, inDeadline                                          uint64
+	wrong, mixed                                                  uint64
+	// asked counts the shards of all idempotent queries, unsent those of refused or unanswered ones, sentShards those of
+	// all queries that ran.
+	asked, sentShards, covered, named uint64
+	reachable, reachableCovered       uint64
+	samples                           []string
+
+	writes                                        map[string][]*answer
+	writesSent                                    uint64
+	writesRan, writesNotRun, writesUnknown        uint64
+	doubled, falseNotRun                          int
+	received, overConnections, overSlots          uint64
+	lateAfterDrain, misrouted, shed, versionsGone uint64
+	daemonCPU                                     time.Duration
+}
+
+func newSideRecord() *sideRecord {
+	return &sideRecord{
+		services: make(map[core.ServiceName]*serviceRecord), writes: make(map[string][]*answer),
+		all: newHistogram(), fanOut: newHistogram(), lookUp: newHistogram(), settled: newHistogram(),
+	}
+}
+
+// observe adds the outcome of one query. settled is false in the time in which a fault may still show.
+func (r *sideRecord) observe(o *outcome, service *core.Service, settled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[service.Name]
+	if s == nil {
+		s = &serviceRecord{}
+		r.services[service.Name] = s
+	}
+	s.offered++
+	r.resent += uint64(o.sends - 1)
+	if o.cutOff {
+		r.cutOff++
+	}
+	if o.undecodable != "" {
+		r.wrong++
+		r.sample(o.query.id + ": " + o.undecodable)
+	}
+	if o.query.kind == write {
+		r.observeWrite(o, service)
+		return
+	}
+	r.queries++
+	if r.observeAnswer(o, service) {
+		r.inDeadline++
+		s.inDeadline++
+	}
+	if o.answer != nil && o.answer.refused() {
+		return
+	}
+	record(r.all, o.took)
+	if o.query.kind == fanOut {
+		record(r.fanOut, o.took)
+	} else {
+		record(r.lookUp, o.took)
+	}
+	if settled {
+		record(r.settled, o.took)
+	}
+}
+
+// observeAnswer checks the answer to an idempotent query and reports whether it was complete within its deadline.
+func (r *sideRecord) observeAnswer(o *outcome, service *core.Service) bool {
+	if o.answer == nil {
+		r.noAnswer++
+		r.asked += uint64(len(expectedShards(o.query, service, 0)))
+		r.unsent += uint64(len(expectedShards(o.query, service, 0)))
+		return false
+	}
+	r.answered++
+	v := checkAnswer(o.query, service, o.answer)
+	r.judge(o, &v)
+	r.asked += uint64(v.asked)
+	r.covered += uint64(v.covered)
+	r.named += uint64(v.named)
+	r.observeReach(o, service)
+	if o.answer.refused() {
+		r.refused++
+		r.unsent += uint64(v.asked)
+		return false
+	}
+	r.sentShards += uint64(v.asked)
+	if v.covered < v.asked {
+		return false
+	}
+	r.complete++
+	return o.took <= queryDeadline
+}
+
+func (r *sideRecord) judge(o *outcome, v *verdict) {
+	if v.mixed {
+		r.mixed++
+	}
+	if v.wrong != "" {
+		r.wrong++
+		r.sample(o.query.id + ": " + v.wrong)
+	}
+}
+
+func (r *sideRecord) sample(text string) {
+	if len(r.samples) < maxWrongSamples {
+		r.samples = append(r.samples, text)
+	}
+}
+
+// observeReach counts the shards that the entry VM could reach for the whole time of the query.
+func (r *sideRecord) observeReach(o *outcome, service *core.Service) {
+	covered := make(map[core.ShardName]bool, len(o.answer.Covered))
+	for i := range o.answer.Covered {
+		covered[o.answer.Covered[i].Shard] = true
+	}
+	layout := service.LayoutAt(o.answer.Snapshot)
+	if layout == nil {
+		layout = &service.Layouts[0]
+	}
+	expected := expectedShards(o.query, service, o.answer.Snapshot)
+	for _, shard := range layout.Shards {
+		if !expected[shard.Name] || !reachable(o, service.Group(shard.Group)) {
+			continue
+		}
+		r.reachable++
+		if covered[shard.Name] {
+			r.reachableCovered++
+		}
+	}
+}
+
+func reachable(o *outcome, group *core.Group) bool {
+	for u := range group.Upstreams {
+		domain := domainIndex(string(group.Upstreams[u].Domain))
+		if o.reach[0][domain] && o.reach[1][domain] {
+			return true
+		}
+	}
+	return false
+}
+
+// observeWrite keeps the answer to a non-idempotent request for the comparison with what the upstreams ran.
+func (r *sideRecord) observeWrite(o *outcome, service *core.Service) {
+	r.writesSent++
+	if o.answer == nil {
+		r.writesUnknown++
+		return
+	}
+	v := checkAnswer(o.query, service, o.answer)
+	r.judge(o, &v)
+	if !o.answer.refused() {
+		r.sentShards += uint64(v.asked)
+	}
+	switch {
+	case o.answer.Code == core.CodeOK:
+		r.writesRan++
+	case o.answer.claimsNotRun():
+		r.writesNotRun++
+	default:
+		r.writesUnknown++
+	}
+	r.writes[o.query.id] = append(r.writes[o.query.id], o.answer)
+}
+
+// addCounts adds what the upstreams saw between two readings.
+func (r *sideRecord) addCounts(before, after map[string]upstream.Counts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, now := range after {
+		old := before[id]
+		r.received += now.Received - old.Received
+		r.overConnections += now.OverConnections - old.OverConnections
+		r.overSlots += now.OverSlots - old.OverSlots
+		r.lateAfterDrain += now.LateAfterDrain - old.LateAfterDrain
+		r.misrouted += now.Misrouted - old.Misrouted
+		r.shed += now.Shed - old.Shed
+		r.versionsGone += now.VersionMissing - old.VersionMissing
+	}
+}
+
+// addWrites judges the non-idempotent requests of a slice.
+func (r *sideRecord) addWrites(runs map[string]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	falseNotRun, wrong, doubled := checkWrites(r.writes, runs)
+	r.falseNotRun += falseNotRun
+	r.wrong += uint64(wrong)
+	r.doubled += doubled
+	clear(r.writes)
+}
--- /dev/null
+++ b/bench/run.go
@@ -0,0 +1,254 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"gooseberrylane.example/core"
+)
+
+const (
+	sidesPerRun = 2
+	warmUp      = 1500 * time.Millisecond
+	// settlePause lets a side recover from the faults of a slice before its next one.
+	settlePause = 1200 * time.Millisecond
+	// runSlack bounds a run: the time beyond the measured one that starts, pauses and stops may take.
+	runSlack = 2 * time.Minute
+)
+
+// side is one of the two that a run compares.
+type side struct {
+	fleet  *fleet
+	caller *caller
+	record *sideRecord
+}
+
+// comparison is one run of one scenario with two sides on the same stand-ins.
+type comparison struct {
+	world     *world
+	plan      *plan
+	scenarios []scenario
+	sides     [sidesPerRun]*side
+}
+
+// contender says what runs on one side.
+type contender struct {
+	name     string
+	policy   policy
+	binaries *binaries
+}
+
+// compare runs a scenario on two contenders and returns the report.
+func compare(ctx context.Context, o *options, s *starter, b *binaries, contenders [sidesPerRun]contender, name string) (*report, error) {
+	ctx, cancel := context.WithTimeout(ctx, sidesPerRun*o.duration*2+runSlack)
+	defer cancel()
+	found, err := findScenarios(name)
+	if err != nil {
+		return nil, err
+	}
+	folder := filepath.Join(o.folder, fmt.Sprintf("%s-%s", o.deployment, name))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, err
+	}
+	p, err := newPlan(o, contenders, found)
+	if err != nil {
+		return nil, err
+	}
+	w, err := newWorld(ctx, o, s, b, folder, p.deployment)
+	if err != nil {
+		return nil, err
+	}
+	c := &comparison{world: w, plan: p, scenarios: found}
+	err = c.start(ctx, contenders)
+	if err == nil {
+		err = c.run(ctx)
+	}
+	r := newReport(c, name, contenders)
+	return r, errors.Join(err, c.stop())
+}
+
+func newPlan(o *options, contenders [sidesPerRun]contender, found []scenario) (*plan, error) {
+	d, err := newDeployment(o)
+	if err != nil {
+		return nil, err
+	}
+	withWrites := true
+	for _, contender := range contenders {
+		withWrites = withWrites && supportKinds(contender.binaries.plugins)["records"] == "platform"
+	}
+	p := &plan{
+		deployment: d, streams: streamsOf(o.deployment, o.rate, withWrites), slices: o.slices(), capacity: make(map[string]float64),
+	}
+	for _, s := range found {
+		s.Prepare(p)
+	}
+	return p, nil
+}
+
+func (c *comparison) start(ctx context.Context, contenders [sidesPerRun]contender) error {
+	for i, contender := range contenders {
+		f, err := startFleet(ctx, c.world, i, contender.name, contender.policy, contender.binaries, c.world.options.vms)
+		if f != nil {
+			c.sides[i] = &side{fleet: f, caller: newCaller(f), record: newSideRecord()}
+		}
+		if err != nil {
+			return fmt.Errorf("start of %s: %w", contender.name, err)
+		}
+	}
+	return nil
+}
+
+func (c *comparison) stop() error {
+	var errs []error
+	for _, s := range c.sides {
+		if s != nil {
+			s.caller.close()
+			errs = append(errs, s.fleet.stop())
+		}
+	}
+	c.world.upstreams.stop()
+	return errors.Join(append(errs, c.world.network.mark.Close())...)
+}
+
+// run measures the slices of both sides in turn. The order changes from slice to slice, so that a drift of the machine
+// meets both sides alike.
+func (c *comparison) run(ctx context.Context) error {
+	for _, s := range c.sides {
+		if err := c.warm(ctx, s); err != nil {
+			return err
+		}
+	}
+	for slice := range c.plan.slices {
+		for turn := range sidesPerRun {
+			s := c.sides[(slice+turn)%sidesPerRun]
+			if err := c.runSlice(ctx, s, slice); err != nil {
+				return fmt.Errorf("slice %d of %s: %w", slice, s.fleet.name, err)
+			}
+		}
+	}
+	return nil
+}
+
+// warm offers load that is not measured.
+func (c *comparison) warm(ctx context.Context, s *side) error {
+	arrivals, err := schedule(c.plan.streams, c.plan.deployment, c.world.options.seed, -1, warmUp)
+	if err != nil {
+		return err
+	}
+	tag(arrivals, "w", s.fleet.side)
+	s.caller.run(ctx, arrivals, func(outcome) {})
+	_, err = c.world.awaitQuiet(ctx)
+	return err
+}
+
+// tag makes the request IDs of a side its own, because the sides share the upstreams.
+func tag(arrivals []arrival, mark string, side int) {
+	for i := range arrivals {
+		arrivals[i].id = fmt.Sprintf("%s-%s%d", arrivals[i].id, mark, side)
+	}
+}
+
+func (c *comparison) runSlice(ctx context.Context, s *side, slice int) error {
+	st, arrivals, err := c.newStage(ctx, s, slice)
+	if err != nil {
+		return err
+	}
+	if err := c.before(ctx, st); err != nil {
+		return err
+	}
+	counts, err := c.world.counts(ctx)
+	if err != nil {
+		return err
+	}
+	cpu := s.fleet.cpu()
+	err = c.measure(ctx, s, st, arrivals)
+	after, quietErr := c.world.awaitQuiet(ctx)
+	if err := errors.Join(err, quietErr); err != nil {
+		return err
+	}
+	s.record.addCounts(counts, after)
+	s.record.daemonCPU += s.fleet.cpu() - cpu
+	s.record.measured += st.length
+	runs, err := c.world.writes(ctx)
+	if err != nil {
+		return err
+	}
+	s.record.addWrites(runs)
+	return c.after(ctx, st)
+}
+
+func (c *comparison) newStage(ctx context.Context, s *side, slice int) (*stage, []arrival, error) {
+	o := c.world.options
+	length := o.duration / time.Duration(c.plan.slices)
+	arrivals, err := schedule(c.plan.streams, c.plan.deployment, o.seed, slice, length)
+	if err != nil {
+		return nil, nil, err
+	}
+	tag(arrivals, "s", s.fleet.side)
+	st := &stage{
+		world: c.world, fleet: s.fleet, slice: slice, length: length,
+		random: rand.New(rand.NewPCG(o.seed, uint64(slice)+1_000_000)),
+	}
+	return st, arrivals, c.world.control.Call(ctx, "/v1/seed", map[string]uint64{"seed": o.seed + uint64(slice)}, nil)
+}
+
+func (c *comparison) before(ctx context.Context, st *stage) error {
+	for _, scenario := range c.scenarios {
+		if err := scenario.Before(ctx, st); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measure offers the load of a slice while the scenarios act.
+func (c *comparison) measure(ctx context.Context, s *side, st *stage, arrivals []arrival) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	st.started = time.Now()
+	failures := make(chan error, len(c.scenarios))
+	for _, scenario := range c.scenarios {
+		go func() { failures <- scenario.During(ctx, st) }()
+	}
+	notSent := s.caller.run(ctx, arrivals, func(o outcome) {
+		service := serviceOf(c.plan.deployment, core.ServiceName(o.query.service))
+		s.record.observe(&o, service, st.settled(o.query.at))
+	})
+	s.record.notSent += uint64(notSent)
+	var errs []error
+	for range c.scenarios {
+		errs = append(errs, <-failures)
+	}
+	return errors.Join(errs...)
+}
+
+// after heals what the scenarios did and lets the side recover.
+func (c *comparison) after(ctx context.Context, st *stage) error {
+	var errs []error
+	for _, scenario := range c.scenarios {
+		errs = append(errs, scenario.After(ctx, st))
+	}
+	errs = append(errs, c.world.heal(ctx))
+	select {
+	case <-time.After(settlePause):
+	case <-ctx.Done():
+		errs = append(errs, ctx.Err())
+	}
+	return errors.Join(errs...)
+}
+
+// cpu returns the CPU time of the daemons that run now. The time of a daemon that ended is lost.
+func (f *fleet) cpu() time.Duration {
+	var total time.Duration
+	for _, v := range f.vms {
+		if u, err := v.proc.usage(); err == nil {
+			total += u.CPU
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/bench/scenario.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"gooseberrylane.example/standins/deployment"
+)
+
+// scenario is a fault or a kind of load. Its hooks are called for each slice of each side; several scenarios combine.
+type scenario interface {
+	// Name is the name on the command line.
+	Name() string
+	// Prepare changes the plan before anything starts.
+	Prepare(p *plan)
+	// Before is called before the measured time.
+	Before(ctx context.Context, s *stage) error
+	// During is called when the measured time starts, beside the load, and returns within it.
+	During(ctx context.Context, s *stage) error
+	// After is called after the measured time. Faults of upstreams and cuts of the network are healed without it.
+	After(ctx context.Context, s *stage) error
+}
+
+// noHooks is embedded by scenarios that do not need every hook.
+type noHooks struct{}
+
+func (noHooks) Prepare(*plan)                        {}
+func (noHooks) Before(context.Context, *stage) error { return nil }
+func (noHooks) During(context.Context, *stage) error { return nil }
+func (noHooks) After(context.Context, *stage) error  { return nil }
+
+// plan is what a run does; scenarios change it before the start.
+type plan struct {
+	deployment *deployment.Deployment
+	streams    []stream
+	slices     int
+	// capacity is the load in queries per second that the upstreams of a service can bear, for overloaded services.
+	capacity map[string]float64
+}
+
+// stage is one slice of one side.
+type stage struct {
+	*world
+	fleet  *fleet
+	slice  int
+	length time.Duration
+	// random draws the targets of faults; it is the same for both sides.
+	random  *rand.Rand
+	started time.Time
+	// faultAt is the time of the first fault since the start plus 1, 0 while there is none.
+	faultAt atomic.Int64
+}
+
+// settleTime is how long after a fault answers may be late, by the targets.
+const settleTime = time.Second
+
+// waitUntil waits until a part of the measured time has passed.
+func (s *stage) waitUntil(ctx context.Context, part float64) error {
+	due := s.started.Add(time.Duration(part * float64(s.length)))
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// markFault notes that a fault begins now.
+func (s *stage) markFault() { s.faultAt.CompareAndSwap(0, int64(time.Since(s.started))+1) }
+
+// settled reports whether a query that starts at an offset is outside the time in which a fault may show.
+func (s *stage) settled(at time.Duration) bool {
+	fault := s.faultAt.Load()
+	if fault == 0 {
+		return true
+	}
+	from := time.Duration(fault - 1)
+	return at+queryDeadline < from || at > from+settleTime
+}
+
+// replicas returns one replica of every n-th group of each service with more than one group, and one of every other
+// service.
+func (s *stage) replicas(every int) []string {
+	var ids []string
+	for _, service := range s.deployment.Services {
+		offset := s.random.IntN(every)
+		for g := range service.Groups {
+			if len(service.Groups) > 1 && g%every != offset {
+				continue
+			}
+			upstreams := service.Groups[g].Upstreams
+			ids = append(ids, string(upstreams[s.random.IntN(len(upstreams))].ID))
+		}
+	}
+	return ids
+}
+
+var scenarios = make(map[string]scenario)
+
+// registerScenario adds a scenario. It panics when the name is taken, which is a fault of the program.
+func registerScenario(s scenario) {
+	if _, taken := scenarios[s.Name()]; taken {
+		panic("bench: scenario " + s.Name() + " registered twice")
+	}
+	scenarios[s.Name()] = s
+}
+
+func scenarioNames() []string {
+	names := make([]string, 0, len(scenarios))
+	for name := range scenarios {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// findScenarios returns the scenarios of a name such as "stragglers+drain".
+func findScenarios(name string) ([]scenario, error) {
+	var found []scenario
+	for _, part := range strings.Split(name, "+") {
+		s, ok := scenarios[part]
+		if !ok {
+			return nil, fmt.Errorf("unknown scenario %q; known are %s", part, strings.Join(scenarioNames(), ", "))
+		}
+		found = append(found, s)
+	}
+	return found, nil
+}
