--- a/bench/record.go
+++ b/bench/record.go
@@ -45,9 +45,9 @@
 	wrong, mixed                                                  uint64
 	// asked counts the shards of all idempotent queries, unsent those of refused or unanswered ones, sentShards those of
 	// all queries that ran.
-	asked, sentShards, covered, named uint64
-	reachable, reachableCovered       uint64
-	samples                           []string
+	asked, sentShards, covered, named, unsent uint64
+	reachable, reachableCovered               uint64
+	samples                                   []string
 
 	writes                                        map[string][]*answer
 	writesSent                                    uint64
