--- a/demo/main.go
+++ b/demo/main.go
@@ -1,6 +1,7 @@
-// Command demo runs the whole query path in one process: upstream stand-ins of a deployment and several daemons, each
-// on its own loopback ports through the same kernel and plug-ins as the real programs. It asks one question over all
-// shards, kills a replica, asks again, and stops.
+// Command demo runs the whole query path in one process: the stand-ins of the platform and of a deployment's upstreams,
+// and several daemons, each on its own loopback ports through the same kernel and plug-ins as the real programs. It puts
+// the services in force, asks one question over all shards, kills a replica, asks again, kills the other replica of the
+// same shard, asks again, and stops.
 package main
 
 import (
@@ -17,16 +18,20 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
+	"go.uber.org/fx"
 
 	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
 	_ "gooseberrylane.example/plugins/standard"
 	"gooseberrylane.example/standins/deployment"
+	"gooseberrylane.example/standins/platform"
 	"gooseberrylane.example/standins/upstream"
 )
 
 const (
 	startTimeout = 20 * time.Second
 	queryTimeout = 5 * time.Second
+	seed         = 1
 )
 
 func main() {
@@ -50,18 +55,23 @@
 // demo is the running set of stand-ins and daemons.
 type demo struct {
 	deployment *deployment.Deployment
+	platform   *platform.Server
 	upstreams  []*upstream.Server
+	vms        []deployment.VM
 	apps       []*kernel.App
-	callers    []string
+	operations kinds.Operations
 }
 
 func run(name string, vms int, logs bool) error {
-	d, err := deployment.New(name, 1)
+	d, err := deployment.New(name, seed)
 	if err != nil {
 		return err
 	}
-	dm := &demo{deployment: d}
-	defer dm.stopUpstreams()
+	dm := &demo{deployment: d, platform: platform.New("127.0.0.1:0", seed)}
+	if err := dm.platform.Start(); err != nil {
+		return err
+	}
+	defer dm.stopStandIns()
 	if err := dm.startUpstreams(); err != nil {
 		return err
 	}
@@ -71,16 +81,20 @@
 	fmt.Printf("deployment %s: %d upstreams, %d daemons\n", name, len(dm.upstreams), vms)
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	service := string(d.Services[0].Name)
-	if err := dm.ask(ctx, "all replicas up", service); err != nil {
+	if err := dm.configure(ctx); err != nil {
 		return err
 	}
-	killed := dm.upstreams[0]
-	if err := killed.Kill(); err != nil {
+	service := string(d.Services[0].Name)
+	if err := dm.ask(ctx, "all replicas up", service); err != nil {
 		return err
 	}
-	if err := dm.ask(ctx, "replica "+killed.ID()+" killed", service); err != nil {
-		return err
+	for _, replica := range dm.upstreams[:2] {
+		if err := replica.Kill(); err != nil {
+			return err
+		}
+		if err := dm.ask(ctx, "replica "+replica.ID()+" killed", service); err != nil {
+			return err
+		}
 	}
 	return dm.stopDaemons()
 }
@@ -99,7 +113,8 @@
 	return nil
 }
 
-func (dm *demo) stopUpstreams() {
+func (dm *demo) stopStandIns() {
+	_ = dm.platform.Stop()
 	for _, s := range dm.upstreams {
 		// A stand-in that is closed already is what the demo wants.
 		_ = s.Kill()
@@ -107,41 +122,21 @@
 }
 
 func (dm *demo) startDaemons(n int, logs bool) error {
-	type member struct {
-		Name          string `json:"name"`
-		FailureDomain string `json:"failure_domain"`
-		PeerAddress   string `json:"peer_address"`
-	}
-	members := make([]member, n)
-	dm.callers = make([]string, n)
-	for i := range members {
-		ports, err := freeAddresses(2)
+	for i := range n {
+		addresses, err := freeAddresses(2)
 		if err != nil {
 			return err
 		}
-		domain := deployment.Domains[i%len(deployment.Domains)]
-		members[i] = member{Name: fmt.Sprintf("vm-%d", i+1), FailureDomain: string(domain), PeerAddress: ports[0]}
-		dm.callers[i] = ports[1]
-	}
-	for i, m := range members {
-		settings := map[string]any{
-			"vm": map[string]any{"name": m.Name, "failure_domain": m.FailureDomain},
-			"plugins": map[string]any{
-				"front_end":     []any{plugin("http", map[string]any{"listen": dm.callers[i]})},
-				"engine":        []any{plugin("standard", nil)},
-				"dispatch":      []any{plugin("owner", nil)},
-				"executor":      []any{plugin("slots", nil)},
-				"transport":     []any{plugin("http", nil)},
-				"peer":          []any{plugin("websocket", map[string]any{"listen": m.PeerAddress})},
-				"membership":    []any{plugin("static", map[string]any{"members": members})},
-				"configuration": []any{plugin("static", map[string]any{"services": dm.deployment.Services})},
-				"selection":     []any{plugin("adaptive", nil)},
-				"hedging":       []any{plugin("learned", nil)},
-				"retry":         []any{plugin("budget", nil)},
-				"admission":     []any{plugin("open", nil)},
-				"records":       []any{plugin("none", nil)},
-			},
-		}
+		dm.vms = append(dm.vms, deployment.VM{
+			Name: fmt.Sprintf("vm-%d", i+1), Domain: deployment.Domains[i%len(deployment.Domains)], Peer: addresses[0], Caller: addresses[1],
+		})
+	}
+	for _, vm := range dm.vms {
+		settings := dm.deployment.NewSettings(vm, dm.vms, dm.platform.Address())
+		settings.Set("configuration", "log", nil)
+		settings.Set("selection", "adaptive", nil)
+		settings.Set("hedging", "learned", nil)
+		settings.Set("retry", "budget", nil)
 		if err := dm.startDaemon(settings, logs); err != nil {
 			return err
 		}
@@ -149,15 +144,7 @@
 	return nil
 }
 
-func plugin(name string, settings any) map[string]any {
-	p := map[string]any{"name": name}
-	if settings != nil {
-		p["settings"] = settings
-	}
-	return p
-}
-
-func (dm *demo) startDaemon(settings any, logs bool) error {
+func (dm *demo) startDaemon(settings *deployment.Settings, logs bool) error {
 	raw, err := json.Marshal(settings)
 	if err != nil {
 		return err
@@ -170,7 +157,7 @@
 	if logs {
 		log = os.Stderr
 	}
-	app, err := kernel.New(loaded, kernel.Options{Log: log})
+	app, err := kernel.New(loaded, kernel.Options{Log: log, Extra: []fx.Option{fx.Populate(&dm.operations)}})
 	if err != nil {
 		return err
 	}
@@ -178,6 +165,31 @@
 	return app.Start(context.Background())
 }
 
+// configure states the intent to create the services, confirms the plan and waits until it is in force on all daemons.
+func (dm *demo) configure(ctx context.Context) error {
+	plan, err := dm.operations.Plan(ctx, dm.deployment.Intent("demo"))
+	if err != nil {
+		return err
+	}
+	change, err := dm.operations.Confirm(ctx, plan.ID, "demo")
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	for _, app := range dm.apps {
+		for changed := app.State.Changed(); app.State.Load().Config.Revision < change.Revision; changed = app.State.Changed() {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+	fmt.Printf("plan %s: %d services and %d upstreams, in force on %d daemons as revision %d after %.0f ms\n",
+		plan.ID, len(plan.Services), len(plan.Upstreams), len(dm.apps), change.Revision, float64(time.Since(started).Microseconds())/1000)
+	return nil
+}
+
 func (dm *demo) stopDaemons() error {
 	var errs []error
 	for _, app := range dm.apps {
@@ -225,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+dm.callers[0]+"/v1/query", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+dm.vms[0].Caller+"/v1/query", bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -69,19 +69,19 @@
 
 // VM is one daemon process.
 type VM struct {
-	Name, Domain, Peer, Caller string
-	settings                   string
-	cmd                        *exec.Cmd
-	log                        *os.File
-	exited                     chan struct{}
+	deployment.VM
+	settings string
+	cmd      *exec.Cmd
+	log      *os.File
+	exited   chan struct{}
 }
 
-// Plugins changes the plug-ins of a daemon's settings before it starts.
-type Plugins func(vm *VM, plugins map[string]any)
+// Change changes the settings of a daemon before it starts.
+type Change func(vm *VM, settings *deployment.Settings)
 
 // Start starts the stand-ins of a deployment and n daemons, and waits until the daemons are ready. Everything is ended
 // with the test.
-func Start(c *qt.C, name string, n int, change Plugins) *Cluster {
+func Start(c *qt.C, name string, n int, change Change) *Cluster {
 	const seed = 1
 	c.Logf("deployment %s, seed %d", name, seed)
 	d, err := deployment.New(name, seed)
@@ -99,10 +99,10 @@
 	c.Assert(cl.Platform.Start(), qt.IsNil)
 	c.Cleanup(func() { _ = cl.Platform.Stop() })
 	for i := range n {
-		cl.VMs = append(cl.VMs, &VM{
-			Name: fmt.Sprintf("vm-%d", i+1), Domain: string(deployment.Domains[i%len(deployment.Domains)]),
-			Peer: loopbackAddress(peerPort), Caller: loopbackAddress(callerPort),
-		})
+		cl.VMs = append(cl.VMs, &VM{VM: deployment.VM{
+			Name: fmt.Sprintf("vm-%d", i+1), Domain: deployment.Domains[i%len(deployment.Domains)],
+			Peer: loopbackAddress(peerPort), Caller: loopbackAddress(callerPort), Operator: loopbackAddress(operatorPort),
+		}})
 	}
 	for _, vm := range cl.VMs {
 		cl.Launch(vm, change)
@@ -115,8 +115,9 @@
 
 // Ports of the daemons. They are the same for all VMs, because each VM has addresses of its own.
 const (
-	peerPort   = 7101
-	callerPort = 7102
+	peerPort     = 7101
+	callerPort   = 7102
+	operatorPort = 7104
 )
 
 var lastAddress atomic.Uint32
@@ -131,14 +132,16 @@
 }
 
 // Launch starts the process of a VM.
-func (cl *Cluster) Launch(vm *VM, change Plugins) {
-	plugins := cl.plugins(vm)
+func (cl *Cluster) Launch(vm *VM, change Change) {
+	var all []deployment.VM
+	for _, member := range cl.VMs {
+		all = append(all, member.VM)
+	}
+	settings := cl.Deployment.NewSettings(vm.VM, all, cl.Platform.Address())
 	if change != nil {
-		change(vm, plugins)
+		change(vm, settings)
 	}
-	raw, err := json.Marshal(map[string]any{
-		"vm": map[string]any{"name": vm.Name, "failure_domain": vm.Domain}, "plugins": plugins,
-	})
+	raw, err := json.Marshal(settings)
 	cl.c.Assert(err, qt.IsNil)
 	dir := cl.c.TempDir()
 	vm.settings = filepath.Join(dir, vm.Name+".json")
@@ -163,40 +166,6 @@
 	})
 }
 
-func plugin(name string, settings any) []any {
-	p := map[string]any{"name": name}
-	if settings != nil {
-		p["settings"] = settings
-	}
-	return []any{p}
-}
-
-// Plugin returns the settings of a kind for which one plug-in is chosen.
-func Plugin(name string, settings any) []any { return plugin(name, settings) }
-
-func (cl *Cluster) plugins(vm *VM) map[string]any {
-	members := make([]map[string]any, len(cl.VMs))
-	for i, member := range cl.VMs {
-		members[i] = map[string]any{"name": member.Name, "failure_domain": member.Domain, "peer_address": member.Peer}
-	}
-	return map[string]any{
-		"front_end":     plugin("http", map[string]any{"listen": vm.Caller}),
-		"engine":        plugin("standard", nil),
-		"dispatch":      plugin("owner", nil),
-		"executor":      plugin("slots", nil),
-		"transport":     plugin("http", nil),
-		"platform":      plugin("http", map[string]any{"address": cl.Platform.Address()}),
-		"peer":          plugin("websocket", map[string]any{"listen": vm.Peer}),
-		"membership":    plugin("static", map[string]any{"members": members}),
-		"configuration": plugin("static", map[string]any{"services": cl.Deployment.Services}),
-		"selection":     plugin("random", nil),
-		"hedging":       plugin("none", nil),
-		"retry":         plugin("none", nil),
-		"admission":     plugin("open", nil),
-		"records":       plugin("platform", nil),
-	}
-}
-
 // IsReady reports whether a VM says that it is ready, as the platform's balancer asks.
 func IsReady(vm *VM) bool {
 	response, err := http.Get("http://" + vm.Caller + "/v1/ready")
--- a/test/integration/query_test.go
+++ b/test/integration/query_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gooseberrylane.example/standins/deployment"
 	"gooseberrylane.example/standins/upstream"
 	"gooseberrylane.example/test/harness"
 )
@@ -65,9 +66,9 @@
 // the balancer does, while it says that it is ready; every such request must get a complete answer.
 func TestPlannedStopCutsNothingOff(t *testing.T) {
 	c := qt.New(t)
-	cl := harness.Start(c, "directorate", 3, func(vm *harness.VM, plugins map[string]any) {
+	cl := harness.Start(c, "directorate", 3, func(vm *harness.VM, settings *deployment.Settings) {
 		// Far longer than the time between the check of readiness and the request that follows it.
-		plugins["front_end"] = harness.Plugin("http", map[string]any{"listen": vm.Caller, "balancer_lag_ms": 3000})
+		settings.Set("front_end", "http", map[string]any{"listen": vm.Caller, "balancer_lag_ms": 3000})
 	})
 	stopping := cl.VMs[0]
 	var answered, cut atomic.Int64
