--- a/coord/config/digest.go
+++ b/coord/config/digest.go
@@ -8,18 +8,12 @@
 	"gooseberrylane.example/core"
 )
 
-// digester computes digests of sets. It keeps the digest of each service, so that a change costs only the services
+// digester computes digests of sets. They can be compared between VMs of one release only. It keeps the digest of each service, so that a change costs only the services
 // that it touches.
 type digester struct {
 	known map[*core.Service]uint64
 }
 
-// Digest identifies the content of a set; equal sets have equal digests.
-func Digest(set *core.ConfigSet) uint64 {
-	var d digester
-	return d.digest(set)
-}
-
 func (d *digester) digest(set *core.ConfigSet) uint64 {
 	next := make(map[*core.Service]uint64, len(set.Services))
 	var sum uint64
--- a/plugins/configuration/log/checkpoint.go
+++ b/plugins/configuration/log/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -22,8 +23,8 @@
 // checkpoint is the object under a checkpoint key. It is written after its parts, so that it is never incomplete.
 type checkpoint struct {
 	Revision core.Revision `json:"revision"`
-	// Digest is the digest of the set, in hexadecimal.
-	Digest string `json:"digest"`
+	// Sum is the SHA-256 of the compressed set, in hexadecimal.
+	Sum string `json:"sum"`
 	// Data is the compressed set, or empty when Parts lists the keys of its parts.
 	Data  []byte   `json:"data,omitempty"`
 	Parts []string `json:"parts,omitempty"`
@@ -85,17 +86,17 @@
 		}
 		data = append(data, part.Value...)
 	}
-	set, err := decodeSet(data)
-	if err != nil {
-		return nil, err
+	if c.Sum != sumOf(data) {
+		return nil, core.Errorf(core.CodeConflict, "the content of checkpoint %d does not match its sum", revision)
 	}
-	if set.Revision != revision || c.Digest != digestText(set) {
-		return nil, core.Errorf(core.CodeConflict, "the content of checkpoint %d does not match its digest", revision)
+	set, err := decodeSet(data)
+	if err == nil && set.Revision != revision {
+		err = core.Errorf(core.CodeConflict, "checkpoint %d holds revision %d", revision, set.Revision)
 	}
-	return set, nil
+	return set, err
 }
 
-func digestText(set *core.ConfigSet) string { return fmt.Sprintf("%016x", config.Digest(set)) }
+func sumOf(data []byte) string { return fmt.Sprintf("%x", sha256.Sum256(data)) }
 
 // writeCheckpoint writes a checkpoint when this VM is a writer and the last one is far behind. A failure is repaired by
 // the other writer or after the next watch.
@@ -131,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	c := checkpoint{Revision: set.Revision, Digest: digestText(set), Data: data}
+	c := checkpoint{Revision: set.Revision, Sum: sumOf(data), Data: data}
 	if len(data) > inlineBytes {
 		c.Data = nil
 		if c.Parts, err = s.storeParts(ctx, set.Revision, data); err != nil {
--- a/plugins/configuration/log/log.go
+++ b/plugins/configuration/log/log.go
@@ -97,11 +97,13 @@
 	loaded bool
 
 	// heard is signalled when told changed.
-	heard    chan struct{}
-	inbox    chan inbound
-	partners atomic.Pointer[partnerList]
-	sequence atomic.Uint64
-	asks     sync.Map
+	heard chan struct{}
+	inbox chan inbound
+	// transfers belongs to the goroutine of the inbox.
+	transfers transfers
+	partners  atomic.Pointer[partnerList]
+	sequence  atomic.Uint64
+	asks      sync.Map
 	// checkpointed is the revision of the last known checkpoint; only the goroutine of follow uses it.
 	checkpointed core.Revision
 
--- a/plugins/configuration/log/messages.go
+++ b/plugins/configuration/log/messages.go
@@ -12,7 +12,8 @@
 	Revision core.Revision
 	// NewsAgeMS is the time since the platform was known to have no later revision, in milliseconds; -1 means never.
 	NewsAgeMS int64
-	// Reply asks for an answer even if the revisions are equal.
+	// Reply asks for the revision of the receiver and nothing else: a VM that starts asks several peers and then takes
+	// the changes from one.
 	Reply bool
 }
 
--- a/plugins/configuration/log/operations.go
+++ b/plugins/configuration/log/operations.go
@@ -15,8 +15,6 @@
 	confirmAttempts = 4
 	// confirmBackoff is the mean wait before the second write; it doubles with each further one.
 	confirmBackoff = 50 * time.Millisecond
-	// maxHistory bounds the changes of one answer.
-	maxHistory = 1000
 )
 
 // Plan implements kinds.Operations. It checks the intent against the end of the log on the platform.
@@ -194,7 +192,6 @@
 // History implements kinds.Operations. When the platform does not answer, the changes that this VM keeps are returned
 // if they begin early enough.
 func (s *service) History(ctx context.Context, after core.Revision, limit int) ([]config.Change, error) {
-	limit = min(max(limit, 1), maxHistory)
 	var changes []config.Change
 	for len(changes) < limit {
 		want := min(listLimit, limit-len(changes))
@@ -203,6 +200,9 @@
 			return s.keptHistory(after, limit, changes, err)
 		}
 		page := s.decodeListed(objects)
+		if len(page) < len(objects) {
+			return nil, core.Errorf(core.CodeInternal, "the change after %d cannot be read", after+core.Revision(len(page)))
+		}
 		changes = append(changes, page...)
 		if len(page) < want {
 			break
--- a/plugins/configuration/log/spread.go
+++ b/plugins/configuration/log/spread.go
@@ -20,8 +20,20 @@
 	maxChanges      = 256
 	// newsGain is how much older the news of a peer must be before it is answered with later news.
 	newsGain = 2 * time.Second
+	// pullWait is how long a VM waits for requested changes before it asks another peer for the same ones.
+	pullWait = 500 * time.Millisecond
 )
 
+// transfers is what the goroutine of the inbox remembers about changes under way.
+type transfers struct {
+	// target is the revision that was last asked for, and until the time up to which no other peer is asked for it.
+	target core.Revision
+	until  time.Time
+	// set is the encoded set of a revision; a restart of many VMs asks for the same one many times.
+	set         []byte
+	setRevision core.Revision
+}
+
 // partnerList is the choice of partners for one member list.
 type partnerList struct {
 	members  *core.Members
@@ -71,7 +83,7 @@
 	for _, vm := range s.spread().partners.One(s.Random.Generator()) {
 		s.send(vm, s.ownRevision(false))
 		if s.hasGap() {
-			s.send(vm, changesRequest{After: s.held()})
+			s.request(vm, s.held()+1)
 		}
 	}
 }
@@ -126,11 +138,13 @@
 	defer s.note(from, m.Revision)
 	held, age := s.held(), s.newsAge()
 	switch {
+	case m.Reply:
+		s.send(from, s.ownRevision(false))
 	case m.Revision > held:
-		s.send(from, changesRequest{After: held})
+		s.request(from, m.Revision)
 	case m.Revision < held:
 		s.sendSince(from, m.Revision)
-	case m.Reply, age >= 0 && (!known || now.Sub(news) > age+newsGain):
+	case age >= 0 && (!known || now.Sub(news) > age+newsGain):
 		s.send(from, s.ownRevision(false))
 	}
 }
@@ -148,12 +162,25 @@
 		s.send(to, changesMessage{Head: head, Changes: s.encodeChanges(changes)})
 		return
 	}
-	data, err := encodeSet(set)
-	if err != nil {
-		s.Log.Error("config_set_not_encoded", "error", err.Error())
+	if s.transfers.setRevision != head {
+		data, err := encodeSet(set)
+		if err != nil {
+			s.Log.Error("config_set_not_encoded", "error", err.Error())
+			return
+		}
+		s.transfers.set, s.transfers.setRevision = data, head
+	}
+	s.send(to, setMessage{Revision: head, Data: s.transfers.set})
+}
+
+// request asks a peer for the changes up to a revision, unless another peer was just asked for them.
+func (s *service) request(from core.VM, target core.Revision) {
+	now := s.Clock.Now()
+	if target <= s.transfers.target && now.Before(s.transfers.until) {
 		return
 	}
-	s.send(to, setMessage{Revision: head, Data: data})
+	s.transfers.target, s.transfers.until = target, now.Add(pullWait)
+	s.send(from, changesRequest{After: s.held()})
 }
 
 // encodeChanges encodes changes up to the bound of a message, and at least one.
@@ -190,8 +217,9 @@
 	s.note(from, m.Head)
 	gap := len(changes) > 0 && changes[0].Revision > before+1
 	// Without one of the two, asking again would bring the same refused changes.
-	if held := s.held(); held < m.Head && (applied || gap) {
-		s.send(from, changesRequest{After: held})
+	if s.held() < m.Head && (applied || gap) {
+		s.transfers.until = time.Time{}
+		s.request(from, m.Head)
 	}
 }
 
