--- a/cmd/gooseberrylane/cli/report.go
+++ b/cmd/gooseberrylane/cli/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -12,9 +13,13 @@
 	"gooseberrylane.example/coord/burn"
 	"gooseberrylane.example/coord/config"
 	"gooseberrylane.example/core"
+	"gooseberrylane.example/plugins/frontend/api"
 )
 
-// historyPageSize is the number of changes that one call asks for. It is the default bound of the operator listener.
+// clockSlack allows for VMs whose clocks differ: the times of confirmation need not follow the revisions exactly.
+const clockSlack = time.Hour
+
+// historyPageSize is the number of changes that one call asks for. It is the bound of the operator listener.
 const historyPageSize = 1000
 
 func (a *app) reportCommand() *ffcli.Command {
@@ -61,25 +66,57 @@
 
 // changesBetween returns all changes that were confirmed at or after from and before to.
 func (a *app) changesBetween(ctx context.Context, from, to time.Time) ([]config.Change, error) {
+	after, err := a.revisionBefore(ctx, from)
+	if err != nil {
+		return nil, err
+	}
 	found := []config.Change{}
-	after := core.Revision(0)
 	for {
 		page, err := a.historyPage(ctx, after, historyPageSize)
 		if err != nil {
 			return nil, err
 		}
+		beyond := false
 		for i := range page.Changes {
-			if at := page.Changes[i].Confirmed; !at.Before(from) && at.Before(to) {
+			at := page.Changes[i].Confirmed
+			if !at.Before(from) && at.Before(to) {
 				found = append(found, page.Changes[i])
 			}
+			beyond = at.After(to.Add(clockSlack))
 		}
-		if page.Next <= after {
+		if page.Next <= after || beyond {
 			return found, nil
 		}
 		after = page.Next
 	}
 }
 
+// revisionBefore returns a revision after which all changes confirmed at or after a time come. It searches by halves,
+// because a fleet makes tens of thousands of changes a day.
+func (a *app) revisionBefore(ctx context.Context, from time.Time) (core.Revision, error) {
+	if from.IsZero() {
+		return 0, nil
+	}
+	var status api.Status
+	if err := a.first(ctx, "operators", a.operators, call{method: http.MethodGet, path: "/v1/status?upstreams=none", anyFailure: true}, &status); err != nil {
+		return 0, err
+	}
+	low, high := core.Revision(0), status.Revision
+	for low < high {
+		middle := low + (high-low)/2
+		page, err := a.historyPage(ctx, middle, 1)
+		if err != nil {
+			return 0, err
+		}
+		if len(page.Changes) > 0 && page.Changes[0].Confirmed.Before(from.Add(-clockSlack)) {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low, nil
+}
+
 // summary describes the operations of an intent in one line.
 func summary(intent *config.Intent) string {
 	texts := make([]string, len(intent.Operations))
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -54,10 +54,13 @@
 	Selected []Selected
 }
 
+// Defaults returns the settings with their defaults.
+func Defaults() Settings { return Settings{LogLevel: "info", StopTimeoutMS: defaultStopTimeoutMS} }
+
 // Load decodes and checks settings against a registry. The error is a *core.Error with CodeBadSettings that lists all
 // problems at once.
 func Load(registry *Registry, raw []byte) (*Loaded, error) {
-	loaded := &Loaded{Settings: Settings{LogLevel: "info", StopTimeoutMS: defaultStopTimeoutMS}}
+	loaded := &Loaded{Settings: Defaults()}
 	problems := decodeChecked(raw, &loaded.Settings, "")
 	for _, kind := range sortedKinds(loaded.Settings.Plugins) {
 		for i, choice := range loaded.Settings.Plugins[kind] {
--- a/plugins/frontend/api/api.go
+++ b/plugins/frontend/api/api.go
@@ -28,7 +28,7 @@
 // History is the answer to GET /v1/history.
 type History struct {
 	Changes []config.Change `json:"changes"`
-	// Next is the revision to continue after; 0 when the answer holds the last change that the VM knows.
+	// Next is the revision to continue after; 0 when the VM knows of no later change.
 	Next core.Revision `json:"next"`
 }
 
--- a/plugins/frontend/operator/handlers.go
+++ b/plugins/frontend/operator/handlers.go
@@ -4,10 +4,8 @@
 	"fmt"
 	"maps"
 	"net/http"
-	"regexp"
 	"slices"
 	"strconv"
-	"unicode/utf8"
 
 	"github.com/gin-gonic/gin"
 
@@ -18,16 +16,12 @@
 	"gooseberrylane.example/plugins/frontend/internal/web"
 )
 
-// Limits of the fields of a request.
+// Numbers of changes in one answer.
 const (
-	maxOperations   = 1000
-	maxReasonBytes  = 1000
-	defaultHistory  = 100
-	operatorPattern = "1 to 128 letters, digits or ._:@-"
+	defaultHistory = 100
+	maxHistory     = 1000
 )
 
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:@-]{0,127}$`)
-
 // problems collects the faults of a request.
 type problems []core.Problem
 
@@ -58,10 +52,6 @@
 		web.WriteError(c, err, 0)
 		return
 	}
-	if err := checkIntent(&intent); err != nil {
-		web.WriteError(c, err, 0)
-		return
-	}
 	operations, ok := f.operations(c)
 	if !ok {
 		return
@@ -70,39 +60,6 @@
 	answer(c, http.StatusCreated, plan, err)
 }
 
-// checkIntent checks what does not depend on the configuration in force and returns all problems at once.
-func checkIntent(intent *config.Intent) error {
-	var found problems
-	if !namePattern.MatchString(intent.Operator) {
-		found.add("operator", "want %s", operatorPattern)
-	}
-	if len(intent.Reason) > maxReasonBytes || !utf8.ValidString(intent.Reason) {
-		found.add("reason", "want at most %d bytes of UTF-8", maxReasonBytes)
-	}
-	if n := len(intent.Operations); n == 0 || n > maxOperations {
-		found.add("operations", "want 1 to %d operations, got %d", maxOperations, n)
-	}
-	for i := range intent.Operations {
-		if n := fieldsSet(&intent.Operations[i]); n != 1 {
-			found.add(fmt.Sprintf("operations[%d]", i), "want exactly one operation, got %d", n)
-		}
-	}
-	return found.refused(core.CodeInvalidIntent)
-}
-
-func fieldsSet(op *config.Operation) int {
-	n := 0
-	for _, set := range []bool{
-		op.PutService != nil, op.DeleteService != "", op.PutGroup != nil, op.DeleteGroup != nil,
-		op.PutRule != nil, op.AddLayout != nil, op.SetDraining != nil,
-	} {
-		if set {
-			n++
-		}
-	}
-	return n
-}
-
 func (f *frontEnd) getPlan(c *gin.Context) {
 	id, err := planID(c)
 	if err != nil {
@@ -129,8 +86,8 @@
 		return
 	}
 	var found problems
-	if !namePattern.MatchString(body.Operator) {
-		found.add("operator", "want %s", operatorPattern)
+	if !config.ValidName(body.Operator) {
+		found.add("operator", "want 1 to 128 letters, digits or ._:-")
 	}
 	if err := found.refused(core.CodeBadRequest); err != nil {
 		web.WriteError(c, err, 0)
@@ -147,7 +104,7 @@
 // planID returns the plan ID of the path. Its form is checked because it becomes part of a key of the platform.
 func planID(c *gin.Context) (config.PlanID, error) {
 	id := c.Param("id")
-	if !namePattern.MatchString(id) {
+	if !config.ValidName(id) {
 		return "", core.Errorf(core.CodeBadName, "plan ID %q", id)
 	}
 	return config.PlanID(id), nil
@@ -156,9 +113,9 @@
 func (f *frontEnd) history(c *gin.Context) {
 	var found problems
 	after := unsigned(c, "after", 0, &found)
-	limit := unsigned(c, "limit", uint64(min(defaultHistory, f.settings.MaxHistory)), &found)
-	if limit < 1 || limit > uint64(f.settings.MaxHistory) {
-		found.add("limit", "want 1 to %d", f.settings.MaxHistory)
+	limit := unsigned(c, "limit", defaultHistory, &found)
+	if limit < 1 || limit > maxHistory {
+		found.add("limit", "want 1 to %d", maxHistory)
 	}
 	onlyKnown(c, &found, "after", "limit")
 	if err := found.refused(core.CodeBadRequest); err != nil {
@@ -174,8 +131,8 @@
 	if page.Changes == nil {
 		page.Changes = []config.Change{}
 	}
-	if len(changes) == int(limit) {
-		page.Next = changes[len(changes)-1].Revision
+	if n := len(changes); n > 0 && (n == int(limit) || changes[n-1].Revision < f.State.Load().Config.Revision) {
+		page.Next = changes[n-1].Revision
 	}
 	answer(c, http.StatusOK, page, err)
 }
--- a/plugins/frontend/operator/operator.go
+++ b/plugins/frontend/operator/operator.go
@@ -21,7 +21,7 @@
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.FrontEnd, Name: "operator",
 		Settings: func() any {
-			return &Settings{MaxBodyBytes: defaultMaxBodyBytes, MaxConnections: defaultMaxConnections, MaxHistory: defaultMaxHistory}
+			return &Settings{MaxBodyBytes: defaultMaxBodyBytes, MaxConnections: defaultMaxConnections}
 		},
 		Options: func(s any) fx.Option {
 			return fx.Invoke(func(lc fx.Lifecycle, p params) { newFrontEnd(lc, p, s.(*Settings)) })
@@ -33,7 +33,6 @@
 	// An intent may hold a whole service, and the platform stores values of at most 1 MB.
 	defaultMaxBodyBytes   = 1 << 20
 	defaultMaxConnections = 64
-	defaultMaxHistory     = 1000
 )
 
 // Settings of the plug-in.
@@ -47,8 +46,6 @@
 	MaxBodyBytes int64 `json:"max_body_bytes" validate:"gte=1"`
 	// MaxConnections bounds the connections of operators. Default 64.
 	MaxConnections int `json:"max_connections" validate:"gte=1"`
-	// MaxHistory bounds the changes in one answer. Default 1000.
-	MaxHistory int `json:"max_history" validate:"gte=1,lte=100000"`
 }
 
 type params struct {
--- a/plugins/frontend/operator/operator_test.go
+++ b/plugins/frontend/operator/operator_test.go
@@ -29,8 +29,21 @@
 	err     error
 }
 
+// testSet is the configuration that the fake plans against.
+func testSet() *core.ConfigSet {
+	rule := core.Rule{DefaultDeadlineMS: 100, MaxDeadlineMS: 1000, VersionRule: core.VersionNewest}
+	group := core.Group{Name: "g", Upstreams: []core.Upstream{{ID: "u-1", Address: "127.0.0.1:1", Domain: "fd-1", Slots: 1, Connections: 2}}}
+	layout := core.Layout{FirstVersion: 1, Shards: []core.Shard{{Name: "a", Group: "g"}}}
+	service := &core.Service{Name: "s", Rule: rule, Groups: []core.Group{group}, Layouts: []core.Layout{layout}}
+	set := &core.ConfigSet{Revision: 7, Services: map[core.ServiceName]*core.Service{"s": service}}
+	return set.Index()
+}
+
 func (f *fakeOperations) Plan(_ context.Context, intent config.Intent) (config.Plan, error) {
-	plan := config.Plan{ID: "plan-1", Base: 7, Intent: intent}
+	plan, err := config.NewPlan("plan-1", testSet(), intent, time.Unix(1000, 0).UTC())
+	if err != nil {
+		return plan, err
+	}
 	f.plans[plan.ID] = plan
 	return plan, f.err
 }
@@ -71,7 +84,7 @@
 		State: kernel.NewState(), Identity: kernel.Identity{VM: "vm-1", Domain: "fd-1", Incarnation: 5},
 		Clock: stoppedClock{time.Unix(1000, 0)}, Log: slog.New(slog.DiscardHandler), Operations: operations,
 	}
-	f := newFrontEnd(discardLifecycle{}, p, &Settings{Key: key, MaxBodyBytes: 4096, MaxConnections: 1, MaxHistory: 10})
+	f := newFrontEnd(discardLifecycle{}, p, &Settings{Key: key, MaxBodyBytes: 4096, MaxConnections: 1})
 	return f, operations
 }
 
@@ -162,7 +175,7 @@
 		{"POST", "/v1/plans/plan-1/confirm", `{"operator":""}`, core.CodeBadRequest, []string{"operator"}},
 		{"GET", "/v1/plans/none", "", core.CodePlanNotFound, nil},
 		{"GET", "/v1/history?after=-1&limit=0&afterr=2", "", core.CodeBadRequest, []string{"after", "limit", "afterr"}},
-		{"GET", "/v1/history?limit=11", "", core.CodeBadRequest, []string{"limit"}},
+		{"GET", "/v1/history?limit=1001", "", core.CodeBadRequest, []string{"limit"}},
 		{"GET", "/v1/progress?revision=x", "", core.CodeBadRequest, []string{"revision"}},
 		{"GET", "/v1/status?upstreams=some", "", core.CodeBadRequest, []string{"upstreams"}},
 		{"DELETE", "/v1/plans", "", core.CodeMethodNotAllowed, nil},
@@ -236,10 +249,10 @@
 	c.Check(body.Upstreams, qt.HasLen, 1)
 }
 
-// FuzzIntent guards against an operator request that panics or passes with operations that say nothing.
+// FuzzIntent guards against an operator request that panics, or that is stored as another intent than the one checked.
 func FuzzIntent(f *testing.F) {
 	for _, seed := range []string{
-		`{"operator":"ada","operations":[{"delete_service":"orders"}]}`, `{"operations":[{}]}`, `[`, `null`, `{"operator":1}`,
+		`{"operator":"ada","operations":[{"delete_service":"s"}]}`, `{"operations":[{}]}`, `[`, `null`, `{"operator":1}`,
 		`{"operator":"ada","operations":[{"put_service":{"name":"x","groups":[{"name":"g"}]}}]}`,
 	} {
 		f.Add(seed)
@@ -251,10 +264,7 @@
 		if call(c, front, "POST", "/v1/plans", "", body, &plan) != http.StatusCreated {
 			return
 		}
-		c.Assert(len(plan.Intent.Operations) > 0, qt.IsTrue)
-		for i := range plan.Intent.Operations {
-			c.Assert(fieldsSet(&plan.Intent.Operations[i]), qt.Equals, 1)
-		}
+		c.Assert(config.Check(testSet(), plan.Intent), qt.HasLen, 0)
 	})
 }
 
