--- a/bench/build.go
+++ b/bench/build.go
@@ -14,6 +14,8 @@
 type binaries struct {
 	daemon, upstream, platform string
 	plugins                    pluginSet
+	// sourceAddress tells whether the daemon can open links from a source address. Without it, peers are not delayed.
+	sourceAddress bool
 }
 
 // pluginSet is the set of linked plug-ins by their folder, such as "selection/random".
@@ -55,6 +57,11 @@
 		return nil, err
 	}
 	b.plugins = linkedPlugins(string(source))
+	peer, err := os.ReadFile(filepath.Join(root, "plugins", "peer", "websocket", "websocket.go"))
+	if err != nil {
+		return nil, err
+	}
+	b.sourceAddress = strings.Contains(string(peer), "source_address")
 	return b, nil
 }
 
--- a/bench/check.go
+++ b/bench/check.go
@@ -113,7 +113,11 @@
 // expectedShards returns the shards that a query asks at an index version; version 0 stands for the first layout.
 func expectedShards(q *arrival, service *core.Service, version core.IndexVersion) map[core.ShardName]bool {
 	if q.kind != fanOut {
-		return map[core.ShardName]bool{q.shard: true}
+		expected := make(map[core.ShardName]bool, len(q.shards))
+		for _, name := range q.shards {
+			expected[name] = true
+		}
+		return expected
 	}
 	layout := service.LayoutAt(version)
 	if layout == nil {
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -75,9 +75,6 @@
 	if err := f.publishVMs(ctx); err != nil {
 		return nil, err
 	}
-	if err := f.publishConfiguration(ctx); err != nil {
-		return nil, err
-	}
 	if err := f.startVMs(ctx); err != nil {
 		return nil, err
 	}
@@ -151,6 +148,9 @@
 	if err := errors.Join(errs...); err != nil {
 		return err
 	}
+	if err := f.publishConfiguration(ctx); err != nil {
+		return err
+	}
 	for _, v := range f.vms {
 		if err := f.awaitReady(ctx, v); err != nil {
 			return err
--- a/bench/mix.go
+++ b/bench/mix.go
@@ -20,6 +20,8 @@
 	fanOut streamKind = iota
 	// lookUp asks one shard.
 	lookUp
+	// several asks some shards.
+	several
 	// write is a non-idempotent request to one shard.
 	write
 )
@@ -30,6 +32,8 @@
 	kind    streamKind
 	// rate is in queries per second.
 	rate float64
+	// count is the number of shards of a query of kind several.
+	count int
 }
 
 // share is the part of the queries that a stream gets.
@@ -75,8 +79,8 @@
 	at      time.Duration
 	service core.ServiceName
 	kind    streamKind
-	// shard names the shard of a look-up or a write.
-	shard  core.ShardName
+	// shards names the shards of a query that does not ask for all.
+	shards []core.ShardName
 	caller core.CallerName
 	// number chooses the VM.
 	number uint64
@@ -100,7 +104,7 @@
 		shards := service.Layouts[0].Shards
 		for at := nextArrival(random, 0, s.rate); at < length; at = nextArrival(random, at, s.rate) {
 			arrivals = append(arrivals, arrival{
-				at: at, service: s.service, kind: s.kind, shard: shards[random.IntN(len(shards))].Name,
+				at: at, service: s.service, kind: s.kind, shards: drawShards(random, s, shards),
 				caller: core.CallerName(fmt.Sprintf("desk-%02d", random.IntN(desks))), number: random.Uint64(),
 			})
 			if len(arrivals) > maxArrivals {
@@ -115,6 +119,22 @@
 	return arrivals, nil
 }
 
+// drawShards returns the shards that a query names; none stands for all.
+func drawShards(random *rand.Rand, s stream, shards []core.Shard) []core.ShardName {
+	switch s.kind {
+	case fanOut:
+		return nil
+	case several:
+		names := make([]core.ShardName, s.count)
+		for i, at := range random.Perm(len(shards))[:s.count] {
+			names[i] = shards[at].Name
+		}
+		return names
+	default:
+		return []core.ShardName{shards[random.IntN(len(shards))].Name}
+	}
+}
+
 func nextArrival(random *rand.Rand, at time.Duration, rate float64) time.Duration {
 	if rate <= 0 {
 		return math.MaxInt64
--- a/bench/run.go
+++ b/bench/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gooseberrylane.example/core"
+	"gooseberrylane.example/standins/deployment"
 )
 
 const (
@@ -73,7 +74,7 @@
 }
 
 func newPlan(o *options, contenders [sidesPerRun]contender, found []scenario) (*plan, error) {
-	d, err := newDeployment(o)
+	d, err := deployment.New(o.deployment, o.seed)
 	if err != nil {
 		return nil, err
 	}
