Let a service speak for its groups until their latency is known

Cause: with 20 VMs each VM sees a few requests of each group, so 30 estimators of one group each stayed unknown, or began at a straggler's latency and fell slowly. Stragglers were waited for. Ruled out: the load budget, which was not used up.

--- a/coord/hedge/hedge.go
+++ b/coord/hedge/hedge.go
@@ -27,6 +27,7 @@
 // Defaults returns the default settings.
 func Defaults() Settings { return Settings{BudgetShare: 0.75, MinDelayMS: 1} }
 
+// groupKey names a group, or with an empty group all groups of a service together.
 type groupKey struct {
 	service core.ServiceName
 	group   core.GroupName
@@ -70,7 +71,12 @@
 	if service.Rule.HedgePercent <= 0 {
 		return 0, false
 	}
-	value, ok := p.quantile(service.Name, group).Value()
+	// A VM of many sees few requests of each group; until a group has enough of its own, the service speaks for it.
+	q := p.quantile(service.Name, group)
+	if !q.Settled() {
+		q = p.quantile(service.Name, "")
+	}
+	value, ok := q.Value()
 	return max(value, time.Duration(p.settings.MinDelayMS*float64(time.Millisecond))), ok
 }
 
@@ -87,9 +93,11 @@
 // ObserveLatency implements query.Hedger.
 func (p *Policy) ObserveLatency(service *core.Service, group core.GroupName, took time.Duration) {
 	p.quantile(service.Name, group).Observe(p.target(service), took)
+	p.quantile(service.Name, "").Observe(p.target(service), took)
 }
 
 // ObserveCancelled implements query.Hedger. Without it, the estimate would see only the attempts that won.
 func (p *Policy) ObserveCancelled(service *core.Service, group core.GroupName, after time.Duration) {
 	p.quantile(service.Name, group).ObserveAtLeast(p.target(service), after)
+	p.quantile(service.Name, "").ObserveAtLeast(p.target(service), after)
 }
--- a/coord/hedge/hedge_test.go
+++ b/coord/hedge/hedge_test.go
@@ -101,3 +101,21 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(value > 50*time.Millisecond && value < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%v", value))
 }
+
+// TestServiceSpeaksForItsGroups guards against stragglers that are waited for because each group alone has seen too few
+// requests on this VM, one of them a straggler.
+func TestServiceSpeaksForItsGroups(t *testing.T) {
+	c := qt.New(t)
+	p := hedge.New(hedge.Defaults())
+	const mean = 4 * time.Millisecond
+	for i := range 30 {
+		latency := mean
+		if i == 3 {
+			latency = 20 * mean
+		}
+		p.ObserveLatency(service, core.GroupName(rune('a'+i)), latency)
+	}
+	delay, ok := p.Delay(service, "b")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(delay < 4*mean, qt.IsTrue, qt.Commentf("%v", delay))
+}
