--- a/cmd/gooseberrylane/cli/cli_test.go
+++ b/cmd/gooseberrylane/cli/cli_test.go
@@ -186,3 +186,28 @@
 		"plugins.report[0].settings.services[0].targets.latency_ms", "plugins.report[0].settings.services[0].targets.latency",
 	})
 }
+
+// TestSettingsCheckFindsMissingAndDoubledKinds guards against settings that pass the check and keep a daemon from
+// starting.
+func TestSettingsCheckFindsMissingAndDoubledKinds(t *testing.T) {
+	c := qt.New(t)
+	const rest = `"selection": [{"name": "random"}], "hedging": [{"name": "none"}], "retry": [{"name": "none"}],
+		"admission": [{"name": "open"}], "records": [{"name": "none"}], "dispatch": [{"name": "owner"}], "executor": [{"name": "slots"}],
+		"transport": [{"name": "http"}], "peer": [{"name": "websocket", "settings": {"listen": "127.0.0.1:1"}}],
+		"configuration": [{"name": "static", "settings": {"services": []}}], "front_end": [{"name": "http", "settings": {"listen": "127.0.0.1:2"}}]`
+	check := func(plugins string) (int, string) {
+		path := filepath.Join(c.TempDir(), "settings.json")
+		raw := `{"vm": {"name": "vm-1", "failure_domain": "fd-1"}, "plugins": {` + rest + plugins + `}}`
+		c.Assert(os.WriteFile(path, []byte(raw), 0o600), qt.IsNil)
+		status, _, errs := run("settings", "check", path)
+		return status, errs
+	}
+	status, errs := check(`, "engine": [{"name": "standard"}], "membership": [{"name": "static"}]`)
+	c.Check(status, qt.Equals, ExitOK, qt.Commentf("%s", errs))
+	status, errs = check(`, "engine": [{"name": "standard"}]`)
+	c.Check(status, qt.Equals, ExitBadSettings)
+	c.Check(errs, qt.Contains, "plugins: missing type: kinds.Membership")
+	status, errs = check(`, "engine": [{"name": "standard"}, {"name": "standard"}], "membership": [{"name": "static"}]`)
+	c.Check(status, qt.Equals, ExitBadSettings)
+	c.Check(errs, qt.Contains, "already provided")
+}
--- a/cmd/gooseberrylane/cli/plot.go
+++ b/cmd/gooseberrylane/cli/plot.go
@@ -20,6 +20,10 @@
 const (
 	plotWidth  = 25 * vg.Centimeter
 	plotHeight = 12 * vg.Centimeter
+	// plotPadding keeps the title off the highest point.
+	plotPadding = 0.4 * vg.Centimeter
+	// tickWidth is the time between two labels.
+	tickWidth = 12 * time.Hour
 	// maxPlotLines keeps a plot readable: it shows the services with the highest burn rates.
 	maxPlotLines = 8
 )
@@ -50,8 +54,10 @@
 	p := plot.New()
 	p.Title.Text = "Burn rate of the " + request.indicator + " budget per hour"
 	p.Y.Label.Text = "burn rate (1 uses up the budget in 30 days)"
+	p.Title.Padding = plotPadding
+	p.X.Label.Text = "time (UTC)"
 	p.Y.Min = 0
-	p.X.Tick.Marker = plot.TimeTicks{Format: "02 Jan\n15:04"}
+	p.X.Tick.Marker = plot.ConstantTicks(halfDays(now.Add(-burn.SlowLong), now))
 	for i, line := range worstLines(fleet, burn.Indicator(request.indicator), now) {
 		xys := make(plotter.XYs, len(line.points))
 		for j, point := range line.points {
@@ -72,13 +78,22 @@
 	p.Legend.Top = true
 	p.X.Min = min(p.X.Min, float64(now.Add(-burn.SlowLong).Unix()))
 	p.X.Max = max(p.X.Max, float64(now.Unix()))
-	p.Y.Max = max(p.Y.Max, 2*burn.SlowLimit)
+	p.Y.Max = 1.1 * max(p.Y.Max, 2*burn.SlowLimit)
 	if err := p.Save(plotWidth, plotHeight, request.path); err != nil {
 		return core.Errorf(core.CodeBadRequest, "plot: %v", err)
 	}
 	return nil
 }
 
+// halfDays returns labels at noon and midnight.
+func halfDays(from, to time.Time) []plot.Tick {
+	var ticks []plot.Tick
+	for at := from.UTC().Truncate(tickWidth).Add(tickWidth); at.Before(to); at = at.Add(tickWidth) {
+		ticks = append(ticks, plot.Tick{Value: float64(at.Unix()), Label: at.Format("02 Jan\n15:04")})
+	}
+	return ticks
+}
+
 // worstLines returns the lines of the services with the highest burn rates.
 func worstLines(fleet *burn.Fleet, indicator burn.Indicator, now time.Time) []plotLine {
 	var lines []plotLine
--- a/cmd/gooseberrylane/cli/settings.go
+++ b/cmd/gooseberrylane/cli/settings.go
@@ -37,6 +37,10 @@
 	if err != nil {
 		return err
 	}
+	// Building the application finds plug-ins that do not fit together. It opens no listener until it starts.
+	if _, err := kernel.New(loaded, kernel.Options{}); err != nil {
+		return err
+	}
 	checked := checkedSettings{VM: loaded.Settings.VM.Name}
 	for _, selected := range loaded.Selected {
 		checked.Plugins = append(checked.Plugins, fmt.Sprintf("%s/%s", selected.Plugin.Kind, selected.Plugin.Name))
--- a/kernel/app.go
+++ b/kernel/app.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -74,7 +75,19 @@
 	}
 	options = append(options, opts.Extra...)
 	app.fx = fx.New(options...)
-	return app, app.fx.Err()
+	if err := app.fx.Err(); err != nil {
+		return nil, misfitError(err)
+	}
+	return app, nil
+}
+
+// misfitError describes a choice of plug-ins that do not fit together, such as one that needs a kind that no plug-in
+// provides. The message of fx names the Go functions too, which only helps those who write plug-ins.
+func misfitError(err error) error {
+	return &core.Error{
+		Code: core.CodeBadSettings, Detail: "the chosen plug-ins do not fit together",
+		Problems: []Problem{{Path: "plugins", Detail: dig.RootCause(err).Error()}},
+	}
 }
 
 func newLogger(w io.Writer, level string, identity Identity) *slog.Logger {
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -82,6 +82,15 @@
 // Start starts the stand-ins of a deployment and n daemons, and waits until the daemons are ready. Everything is ended
 // with the test.
 func Start(c *qt.C, name string, n int, change Change) *Cluster {
+	cl := StartEmpty(c, name, n, change)
+	for _, vm := range cl.VMs {
+		cl.WaitReady(vm)
+	}
+	return cl
+}
+
+// StartEmpty does what Start does but does not wait: a VM whose change log is empty is not ready before the first change.
+func StartEmpty(c *qt.C, name string, n int, change Change) *Cluster {
 	const seed = 1
 	c.Logf("deployment %s, seed %d", name, seed)
 	d, err := deployment.New(name, seed)
@@ -107,9 +116,6 @@
 	for _, vm := range cl.VMs {
 		cl.Launch(vm, change)
 	}
-	for _, vm := range cl.VMs {
-		cl.WaitReady(vm)
-	}
 	return cl
 }
 
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -46,3 +46,28 @@
 		c.Check(strings.HasPrefix(dependency, module+"/") && dependency != module+"/core", qt.IsFalse, qt.Commentf("core depends on %s", dependency))
 	}
 }
+
+// TestPluginsImportNoOtherPlugin guards against a plug-in that cannot be replaced by a choice in the settings, because
+// another one uses it directly.
+func TestPluginsImportNoOtherPlugin(t *testing.T) {
+	c := qt.New(t)
+	plugins := make(map[string]bool)
+	for _, path := range linkedPlugins(c) {
+		plugins[path] = true
+	}
+	c.Assert(len(plugins) > 0, qt.IsTrue)
+	for path := range plugins {
+		for _, dependency := range dependencies(c, path) {
+			c.Check(plugins[dependency] && dependency != path, qt.IsFalse, qt.Commentf("%s depends on %s", path, dependency))
+		}
+	}
+}
+
+// linkedPlugins returns the packages that plugins/standard imports.
+func linkedPlugins(c *qt.C) []string {
+	cmd := exec.Command("go", "list", "-f", "{{join .Imports \"\\n\"}}", "./plugins/standard")
+	cmd.Dir = "../.."
+	out, err := cmd.Output()
+	c.Assert(err, qt.IsNil)
+	return strings.Fields(string(out))
+}
