Keep the histograms of closed burn slots encoded

A VM kept an open histogram of 24,644 bytes for each of 73 hours and each service: 1.8 MB a service, which does not fit the 256 MB of a node with many services. TestOldHistogramsAreEncoded checks that one histogram is open after 100 hours and that the quantiles still cover 3 days.

--- a/coord/burn/burn_test.go
+++ b/coord/burn/burn_test.go
@@ -228,6 +228,29 @@
 	c.Check(report.Latencies.Count, qt.Equals, int64(workers*each))
 }
 
+// TestOldHistogramsAreEncoded guards against memory that grows with every hour: an open histogram takes 24 KB a service.
+func TestOldHistogramsAreEncoded(t *testing.T) {
+	c := qt.New(t)
+	v := newVM()
+	for hour := range 100 {
+		v.recorder.Record(0, Event{Code: core.CodeOK, Took: time.Duration(hour) * time.Millisecond})
+		v.series.Advance(advanceTo(v, testStart.Add(time.Duration(hour)*time.Hour)))
+	}
+	open, encoded := 0, 0
+	for i := range v.series.coarse {
+		if v.series.coarse[i].open != nil {
+			open++
+		}
+		encoded += len(v.series.coarse[i].encoded)
+	}
+	c.Check(open, qt.Equals, 1)
+	c.Check(encoded < 100*1024, qt.IsTrue, qt.Commentf("%d bytes", encoded))
+	now := testStart.Add(99 * time.Hour)
+	fleet, err := Merge([]Snapshot{v.snapshot(c, "a", now)})
+	c.Assert(err, qt.IsNil)
+	c.Check(fleet.Report(now)[0].Latencies.Count, qt.Equals, int64(73), qt.Commentf("3 days and the open hour"))
+}
+
 // TestRecordAllocatesNothing guards against garbage on the path of every query.
 func TestRecordAllocatesNothing(t *testing.T) {
 	v := newVM()
--- a/coord/burn/series.go
+++ b/coord/burn/series.go
@@ -32,11 +32,35 @@
 	HDR string `json:"hdr,omitempty"`
 }
 
-// slot is a Slot with its histogram.
+// slot is a Slot with its histogram: open while the slot may grow, and encoded after that. An open histogram takes 24 KB,
+// an encoded one about 2 KB.
 type slot struct {
-	start     int64
-	counts    Counts
-	histogram *hdr.Histogram
+	start   int64
+	counts  Counts
+	open    *hdr.Histogram
+	encoded string
+}
+
+// close encodes the histogram. The error is that of the encoding; the histogram stays open then.
+func (s *slot) close() error {
+	if s.open == nil {
+		return nil
+	}
+	encoded, err := s.open.EncodeV2()
+	if err != nil {
+		return err
+	}
+	s.open, s.encoded = nil, string(encoded)
+	return nil
+}
+
+// encode returns the histogram in its encoded form, or "" when there is none.
+func (s *slot) encode() (string, error) {
+	if s.open == nil {
+		return s.encoded, nil
+	}
+	encoded, err := s.open.EncodeV2()
+	return string(encoded), err
 }
 
 // Series keeps the counts of one service on one VM in slots of time. It is not safe for concurrent use.
@@ -62,10 +86,14 @@
 	coarse := openSlot(&s.coarse, now, CoarseWidth)
 	coarse.counts = coarse.counts.Plus(added)
 	if addedBuckets != nil {
-		if coarse.histogram == nil {
-			coarse.histogram = NewHistogram()
+		if coarse.open == nil {
+			coarse.open = NewHistogram()
 		}
-		coarse.histogram.Merge(addedBuckets.Histogram())
+		coarse.open.Merge(addedBuckets.Histogram())
+	}
+	for i := range len(s.coarse) - 1 {
+		// A histogram that could not be encoded stays open; Snapshot reports the error.
+		_ = s.coarse[i].close()
 	}
 }
 
@@ -77,7 +105,7 @@
 	oldest := now.Add(-histogramSpan).Truncate(CoarseWidth).Unix()
 	for i := range s.coarse {
 		if s.coarse[i].start < oldest {
-			s.coarse[i].histogram = nil
+			s.coarse[i].open, s.coarse[i].encoded = nil, ""
 		}
 	}
 }
@@ -109,14 +137,11 @@
 	}
 	for i := range s.coarse {
 		snapshot.Coarse[i] = Slot{Start: s.coarse[i].start, Counts: s.coarse[i].counts}
-		if s.coarse[i].histogram == nil {
-			continue
-		}
-		encoded, err := s.coarse[i].histogram.EncodeV2()
+		encoded, err := s.coarse[i].encode()
 		if err != nil {
 			return snapshot, core.Errorf(core.CodeInternal, "histogram of service %q: %v", service, err)
 		}
-		snapshot.Coarse[i].HDR = string(encoded)
+		snapshot.Coarse[i].HDR = encoded
 	}
 	return snapshot, nil
 }
