Send the operator key to operator listeners only

report month also calls the metrics listeners, and the tool sent the operator key with every call when -key-file was given. Checked by breaking the rule once: with the key on every call TestKeyGoesToOperatorListenersOnly fails.

--- a/cmd/gooseberrylane/cli/cli_test.go
+++ b/cmd/gooseberrylane/cli/cli_test.go
@@ -211,3 +211,24 @@
 	c.Check(status, qt.Equals, ExitBadSettings)
 	c.Check(errs, qt.Contains, "already provided")
 }
+
+// TestKeyGoesToOperatorListenersOnly guards against a report that shows the operator key to the metrics listeners, which
+// have no key of their own.
+func TestKeyGoesToOperatorListenersOnly(t *testing.T) {
+	c := qt.New(t)
+	listener := func(answer string, keys *[]string) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			*keys = append(*keys, r.Header.Get("Authorization"))
+			_, _ = w.Write([]byte(answer))
+		}))
+		c.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	keyFile := filepath.Join(c.TempDir(), "key")
+	c.Assert(os.WriteFile(keyFile, []byte(testKey), 0o600), qt.IsNil)
+	var shown, operators []string
+	status, _, errs := run("report", "month", "-key-file", keyFile, "-metrics", listener(`{}`, &shown), "-operators", listener(`{"changes": []}`, &operators))
+	c.Assert(status, qt.Equals, ExitOK, qt.Commentf("%s", errs))
+	c.Check(shown, qt.DeepEquals, []string{""})
+	c.Check(operators, qt.DeepEquals, []string{"Bearer " + testKey, "Bearer " + testKey})
+}
--- a/cmd/gooseberrylane/cli/client.go
+++ b/cmd/gooseberrylane/cli/client.go
@@ -68,6 +68,14 @@
 	// anyFailure allows trying the next VM after every failure to get an answer. Otherwise the next VM is tried only
 	// when nothing was sent.
 	anyFailure bool
+	// operator is true for calls to operator listeners, which alone get the operator key.
+	operator bool
+}
+
+// operatorCall returns a call to an operator listener. All of them may be sent again to the next VM: plans change nothing
+// until they are confirmed, and confirming is idempotent by the plan ID.
+func operatorCall(method, path string, body any) call {
+	return call{method: method, path: path, body: body, anyFailure: true, operator: true}
 }
 
 // silence is a VM that did not answer.
@@ -121,7 +129,7 @@
 	if body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	if a.keyFile == "" {
+	if a.keyFile == "" || !c.operator {
 		return request, nil
 	}
 	key, err := os.ReadFile(a.keyFile)
--- a/cmd/gooseberrylane/cli/plan.go
+++ b/cmd/gooseberrylane/cli/plan.go
@@ -121,7 +121,7 @@
 	}
 	var plan config.Plan
 	// A plan changes nothing until it is confirmed, so a second one does no harm.
-	if err := a.first(ctx, "operators", a.operators, call{method: http.MethodPost, path: "/v1/plans", body: intent, anyFailure: true}, &plan); err != nil {
+	if err := a.first(ctx, "operators", a.operators, operatorCall(http.MethodPost, "/v1/plans", intent), &plan); err != nil {
 		return err
 	}
 	return a.printPlan(&plan)
@@ -129,7 +129,7 @@
 
 func (a *app) showPlan(ctx context.Context, id string) error {
 	var plan config.Plan
-	if err := a.first(ctx, "operators", a.operators, call{method: http.MethodGet, path: planPath(id), anyFailure: true}, &plan); err != nil {
+	if err := a.first(ctx, "operators", a.operators, operatorCall(http.MethodGet, planPath(id), nil), &plan); err != nil {
 		return err
 	}
 	return a.printPlan(&plan)
@@ -171,7 +171,7 @@
 func (a *app) confirm(ctx context.Context, id, by string) error {
 	var change config.Change
 	// Confirming is idempotent by the plan ID, so every VM may be asked.
-	request := call{method: http.MethodPost, path: planPath(id) + "/confirm", body: api.ConfirmRequest{Operator: by}, anyFailure: true}
+	request := operatorCall(http.MethodPost, planPath(id)+"/confirm", api.ConfirmRequest{Operator: by})
 	err := a.first(ctx, "operators", a.operators, request, &change)
 	var coded *core.Error
 	if errors.As(err, &coded) && coded.Code == core.CodeOutcomeUnknown {
--- a/cmd/gooseberrylane/cli/report.go
+++ b/cmd/gooseberrylane/cli/report.go
@@ -98,7 +98,7 @@
 		return 0, nil
 	}
 	var status api.Status
-	if err := a.first(ctx, "operators", a.operators, call{method: http.MethodGet, path: "/v1/status?upstreams=none", anyFailure: true}, &status); err != nil {
+	if err := a.first(ctx, "operators", a.operators, operatorCall(http.MethodGet, "/v1/status?upstreams=none", nil), &status); err != nil {
 		return 0, err
 	}
 	low, high := core.Revision(0), status.Revision
--- a/cmd/gooseberrylane/cli/status.go
+++ b/cmd/gooseberrylane/cli/status.go
@@ -38,7 +38,7 @@
 	if len(a.operators) == 0 {
 		return core.Errorf(core.CodeBadRequest, "-operators is missing")
 	}
-	answers, silent := each[api.Status](ctx, a, a.operators, call{method: http.MethodGet, path: "/v1/status?upstreams=" + url.QueryEscape(upstreams)})
+	answers, silent := each[api.Status](ctx, a, a.operators, operatorCall(http.MethodGet, "/v1/status?upstreams="+url.QueryEscape(upstreams), nil))
 	if len(answers) == 0 {
 		return silenceError(0, silent)
 	}
@@ -132,7 +132,7 @@
 func (a *app) historyPage(ctx context.Context, after core.Revision, limit int) (api.History, error) {
 	var page api.History
 	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "limit": {strconv.Itoa(limit)}}
-	err := a.first(ctx, "operators", a.operators, call{method: http.MethodGet, path: "/v1/history?" + query.Encode(), anyFailure: true}, &page)
+	err := a.first(ctx, "operators", a.operators, operatorCall(http.MethodGet, "/v1/history?"+query.Encode(), nil), &page)
 	return page, err
 }
 
@@ -162,7 +162,7 @@
 		path += "?revision=" + strconv.FormatUint(revision, 10)
 	}
 	var progress config.Progress
-	if err := a.first(ctx, "operators", a.operators, call{method: http.MethodGet, path: path, anyFailure: true}, &progress); err != nil {
+	if err := a.first(ctx, "operators", a.operators, operatorCall(http.MethodGet, path, nil), &progress); err != nil {
 		return err
 	}
 	err := a.print(progress, func(t *table) {
