Add member table and ownership claims as pure decisions

Ownership was assigned from a fixed list, so a VM that died took its upstreams with it and two VMs with different lists could own the same one.

--- /dev/null
+++ b/coord/membership/table.go
@@ -0,0 +1,279 @@
+// Package membership decides which VMs are members, from the platform's lagging list, direct contact and what other
+// members tell. A Table does no I/O; the time and the random source are passed in.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gooseberrylane.example/core"
+)
+
+// Settings are the timing rules of a table.
+type Settings struct {
+	// Period is the time between heartbeats.
+	Period time.Duration
+	// SuspectAfter and GoneAfter are the silence after which a member is suspect and gone.
+	SuspectAfter, GoneAfter time.Duration
+	// PauseAfter is the gap between own ticks that counts as a pause of this VM.
+	PauseAfter time.Duration
+	// Across is the number of members of other failure domains contacted in each period.
+	Across int
+	// RetryGone is the time between contacts to a gone member.
+	RetryGone time.Duration
+	// ForgetAfter is the silence after which a member that the platform does not list is forgotten.
+	ForgetAfter time.Duration
+}
+
+// Defaults returns the settings of the design page.
+func Defaults() Settings {
+	return Settings{
+		Period: time.Second, SuspectAfter: 3 * time.Second, GoneAfter: 6 * time.Second, PauseAfter: 3 * time.Second,
+		Across: 3, RetryGone: 5 * time.Second, ForgetAfter: time.Minute,
+	}
+}
+
+// member is what is known of one other VM.
+type member struct {
+	vm      core.VM
+	listed  bool
+	leaving bool
+	// ended is set when the process of this incarnation is known to have ended.
+	ended bool
+	// heard is the time of the last direct contact, zero before the first.
+	heard   time.Time
+	learned time.Time
+	// acked is the time at which the newest acknowledged heartbeat was sent to the member.
+	acked     time.Time
+	contacted time.Time
+}
+
+// seen is the time from which silence counts.
+func (m *member) seen() time.Time {
+	if m.heard.After(m.learned) {
+		return m.heard
+	}
+	return m.learned
+}
+
+// Table is the member table of one VM. It is not safe for concurrent use.
+type Table struct {
+	settings Settings
+	self     core.VM
+	members  map[core.VMName]*member
+	// across holds the members of other failure domains that the current round has not contacted yet.
+	across   []core.VMName
+	lastTick time.Time
+	// listedAt is the time of the last platform list, zero before the first.
+	listedAt time.Time
+}
+
+// New returns a table that knows only the VM itself.
+func New(settings Settings, self core.VM, now time.Time) *Table {
+	return &Table{settings: settings, self: self, members: make(map[core.VMName]*member), lastTick: now}
+}
+
+// Self returns the VM of the table.
+func (t *Table) Self() core.VM { return t.self }
+
+// Leave marks the VM itself as leaving.
+func (t *Table) Leave() {
+	t.self.State = core.VMLeaving
+}
+
+// Restart gives the VM a new incarnation, as after a pause. Acknowledgements of the old one no longer count.
+func (t *Table) Restart(incarnation core.Incarnation) {
+	t.self.Incarnation = max(incarnation, t.self.Incarnation+1)
+	for _, m := range t.members {
+		m.acked = time.Time{}
+	}
+}
+
+// Introduced reports whether the table knows enough to act: the platform's list or at least one member.
+func (t *Table) Introduced() bool { return !t.listedAt.IsZero() || len(t.members) > 0 }
+
+// Hear records a direct message in which a VM states its name, incarnation, address and whether it is leaving. It
+// returns false when the message is of a lower incarnation and must be ignored.
+func (t *Table) Hear(now time.Time, vm core.VM) bool {
+	if vm.Name == t.self.Name || vm.Name == "" {
+		return false
+	}
+	m := t.members[vm.Name]
+	if m != nil && vm.Incarnation < m.vm.Incarnation {
+		return false
+	}
+	if m == nil || vm.Incarnation > m.vm.Incarnation {
+		m = t.replace(now, m, vm)
+	}
+	m.vm.Domain, m.vm.PeerAddress = vm.Domain, vm.PeerAddress
+	m.heard, m.ended = now, false
+	// Leaving is final for an incarnation, so that a delayed message does not undo it.
+	m.leaving = m.leaving || vm.State == core.VMLeaving
+	return true
+}
+
+// replace begins a new incarnation of a member.
+func (t *Table) replace(now time.Time, old *member, vm core.VM) *member {
+	m := &member{vm: vm, learned: now}
+	if old != nil {
+		m.listed = old.listed
+	}
+	m.leaving = vm.State == core.VMLeaving
+	t.members[vm.Name] = m
+	return m
+}
+
+// Acknowledged records that a member answered a heartbeat that this VM sent at the given time.
+func (t *Table) Acknowledged(name core.VMName, sent time.Time) {
+	if m := t.members[name]; m != nil && sent.After(m.acked) {
+		m.acked = sent
+	}
+}
+
+// Learn records a VM that another member knows. It adds unknown VMs and newer incarnations only.
+func (t *Table) Learn(now time.Time, vm core.VM) {
+	if vm.Name == t.self.Name || vm.Name == "" {
+		return
+	}
+	m := t.members[vm.Name]
+	if m == nil || vm.Incarnation > m.vm.Incarnation {
+		t.replace(now, m, vm)
+	}
+}
+
+// List replaces the platform's list. Entries carry the state live or leaving; their incarnation is not known.
+func (t *Table) List(now time.Time, vms []core.VM) {
+	t.listedAt = now
+	for _, m := range t.members {
+		m.listed = false
+	}
+	for _, vm := range vms {
+		if vm.Name == t.self.Name {
+			continue
+		}
+		m := t.members[vm.Name]
+		if m == nil {
+			vm.Incarnation = 0
+			m = t.replace(now, nil, vm)
+		}
+		m.listed = true
+		t.adoptListed(now, m, vm)
+	}
+}
+
+// adoptListed takes the address and the leaving mark of a listed VM. The list lags, so direct contact goes before it.
+func (t *Table) adoptListed(now time.Time, m *member, vm core.VM) {
+	if t.stateOf(now, m) != core.VMGone && !m.heard.IsZero() {
+		return
+	}
+	if vm.PeerAddress != m.vm.PeerAddress {
+		m.vm.PeerAddress, m.ended, m.learned = vm.PeerAddress, false, now
+	}
+}
+
+// End records that the process of a member ended: its address refused a connection, or it announced that it left.
+func (t *Table) End(name core.VMName, address string) {
+	m := t.members[name]
+	if m == nil || m.vm.PeerAddress != address || m.ended {
+		return
+	}
+	m.ended = true
+}
+
+// Age returns how long a member has been silent.
+func (t *Table) Age(now time.Time, name core.VMName) (time.Duration, bool) {
+	m := t.members[name]
+	if m == nil {
+		return 0, false
+	}
+	return now.Sub(m.seen()), true
+}
+
+// LastAcknowledged returns the time at which the newest heartbeat was sent that a member of the own failure domain
+// acknowledged; zero when there is none.
+func (t *Table) LastAcknowledged() time.Time {
+	var last time.Time
+	for _, m := range t.members {
+		if m.vm.Domain == t.self.Domain && !m.ended && m.acked.After(last) {
+			last = m.acked
+		}
+	}
+	return last
+}
+
+// Alone reports whether every other known member of the own failure domain is known to have ended. A member that the
+// platform still did not list after it had been silent for GoneAfter has ended with its machine.
+func (t *Table) Alone() bool {
+	for _, m := range t.members {
+		delisted := !m.listed && t.listedAt.Sub(m.seen()) >= t.settings.GoneAfter
+		if m.vm.Domain == t.self.Domain && !m.ended && !delisted {
+			return false
+		}
+	}
+	return true
+}
+
+// Neighbours returns the other members of the own failure domain that are not known to have ended, gone ones included,
+// ordered by name.
+func (t *Table) Neighbours(now time.Time) []core.VM {
+	var vms []core.VM
+	for _, m := range t.members {
+		if m.vm.Domain == t.self.Domain && !m.ended {
+			vms = append(vms, t.withState(now, m))
+		}
+	}
+	return sorted(vms)
+}
+
+// Find returns a member with its state at a time.
+func (t *Table) Find(now time.Time, name core.VMName) (core.VM, bool) {
+	m := t.members[name]
+	if m == nil {
+		return core.VM{}, false
+	}
+	return t.withState(now, m), true
+}
+
+// Members returns the member list with the states at a time.
+func (t *Table) Members(now time.Time) *core.Members {
+	all := make([]core.VM, 0, len(t.members)+1)
+	all = append(all, t.self)
+	for _, m := range t.members {
+		all = append(all, t.withState(now, m))
+	}
+	return &core.Members{Self: t.self, All: sorted(all)}
+}
+
+func sorted(vms []core.VM) []core.VM {
+	slices.SortFunc(vms, func(a, b core.VM) int { return cmp.Compare(a.Name, b.Name) })
+	return vms
+}
+
+func (t *Table) withState(now time.Time, m *member) core.VM {
+	vm := m.vm
+	vm.State = t.stateOf(now, m)
+	return vm
+}
+
+// stateOf applies the silence rules. A member of another failure domain is contacted only once in each round of
+// contacts, so the length of a round is added to its bounds.
+func (t *Table) stateOf(now time.Time, m *member) core.VMState {
+	if m.ended {
+		return core.VMGone
+	}
+	silent := now.Sub(m.seen())
+	if m.vm.Domain != t.self.Domain {
+		silent -= t.round()
+	}
+	switch {
+	case silent >= t.settings.GoneAfter:
+		return core.VMGone
+	case silent >= t.settings.SuspectAfter:
+		return core.VMSuspect
+	case m.leaving:
+		return core.VMLeaving
+	default:
+		return core.VMLive
+	}
+}
--- /dev/null
+++ b/coord/ownership/agent.go
@@ -0,0 +1,288 @@
+package ownership
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gooseberrylane.example/coord/membership"
+	"gooseberrylane.example/core"
+)
+
+// listEvery is the number of heartbeat periods after which a member list is sent again to a member whose digest still
+// differs, so that a lasting difference does not cost a list in each period.
+const listEvery = 10
+
+// Heartbeat tells a member that the sender is alive. Sent is a reading of the sender's own clock, which the answer
+// returns.
+type Heartbeat struct {
+	_        struct{} `cbor:",toarray"`
+	From     core.VM
+	Sent     int64
+	Digest   uint64
+	Revision core.Revision
+	// Held is the version of the sender's holdings.
+	Held uint64
+}
+
+// HeartbeatAck answers a heartbeat.
+type HeartbeatAck struct {
+	_        struct{} `cbor:",toarray"`
+	From     core.VM
+	To       core.Incarnation
+	Sent     int64
+	Revision core.Revision
+	// WantHoldings asks for the holdings of the VM that sent the heartbeat.
+	WantHoldings bool
+	// Known holds the members that the sender knows; empty when the digests are equal.
+	Known []core.VM
+}
+
+// Left tells that the sender holds nothing, claims nothing and ends.
+type Left struct {
+	_    struct{} `cbor:",toarray"`
+	From core.VM
+}
+
+// LeftAck answers Left.
+type LeftAck struct {
+	_    struct{} `cbor:",toarray"`
+	From core.VM
+	To   core.Incarnation
+}
+
+// told is the last member list that was sent to a member.
+type told struct {
+	own, theirs uint64
+	at          time.Time
+}
+
+// Agent runs the member table and the claims of one VM. It does no I/O and is not safe for concurrent use.
+type Agent struct {
+	period   time.Duration
+	table    *membership.Table
+	machine  *Machine
+	random   *rand.Rand
+	base     time.Time
+	beat     time.Time
+	revision core.Revision
+	told     map[core.VMName]told
+	// farewell holds the members that have not answered Left yet; nil before the farewell.
+	farewell map[core.VMName]core.VM
+}
+
+// NewAgent returns an agent that holds nothing. The incarnation of self is that of the process start.
+func NewAgent(members membership.Settings, claims Settings, self core.VM, hold *core.Hold, random *rand.Rand, now time.Time) *Agent {
+	table := membership.New(members, self, now)
+	return &Agent{
+		period: members.Period, table: table, machine: New(claims, table, hold), random: random, base: now,
+		told: make(map[core.VMName]told),
+	}
+}
+
+// Table returns the member table.
+func (g *Agent) Table() *membership.Table { return g.table }
+
+// Machine returns the claims.
+func (g *Agent) Machine() *Machine { return g.machine }
+
+// Configure sets the configuration in force.
+func (g *Agent) Configure(now time.Time, set *core.ConfigSet) Actions {
+	g.revision = set.Revision
+	return g.wake(now).join(g.machine.Configure(now, set))
+}
+
+// List takes the platform's list of VMs.
+func (g *Agent) List(now time.Time, vms []core.VM) Actions {
+	a := g.wake(now)
+	g.table.List(now, vms)
+	return a
+}
+
+// Refused records that nothing listens at the address of a member.
+func (g *Agent) Refused(now time.Time, name core.VMName, address string) Actions {
+	a := g.wake(now)
+	g.table.End(name, address)
+	return a.join(g.machine.Tick(now))
+}
+
+// Released reports that the work on an upstream has ended.
+func (g *Agent) Released(now time.Time, id core.UpstreamID) Actions {
+	return g.wake(now).join(g.machine.Released(now, id))
+}
+
+// Tick handles the passing of time. Call it several times in each heartbeat period.
+func (g *Agent) Tick(now time.Time) Actions {
+	a := g.wake(now)
+	g.table.Tick(now)
+	if g.farewell != nil {
+		return a
+	}
+	if now.Sub(g.beat) >= g.period {
+		g.beat = now
+		for _, vm := range g.table.Contacts(now, g.random) {
+			a.send(vm, g.heartbeat(now))
+		}
+	}
+	return a.join(g.machine.Tick(now))
+}
+
+func (g *Agent) heartbeat(now time.Time) Heartbeat {
+	return Heartbeat{
+		From: g.table.Self(), Sent: int64(now.Sub(g.base)), Digest: g.table.Digest(now), Revision: g.revision, Held: g.machine.Version(),
+	}
+}
+
+// wake notices a pause of this VM before anything else is handled.
+func (g *Agent) wake(now time.Time) Actions {
+	if !g.table.Paused(now) {
+		return Actions{}
+	}
+	g.table.Restart(core.Incarnation(now.UnixNano()))
+	g.table.Tick(now)
+	return g.machine.Paused()
+}
+
+// Receive handles a message of another VM. Messages of a lower incarnation are ignored.
+func (g *Agent) Receive(now time.Time, message any) Actions {
+	a := g.wake(now)
+	from, ok := sender(message)
+	if !ok || !g.table.Hear(now, from) {
+		return a
+	}
+	if g.farewell != nil {
+		return a.join(g.receiveAfterLeave(message))
+	}
+	switch m := message.(type) {
+	case Heartbeat:
+		return a.join(g.onHeartbeat(now, m))
+	case HeartbeatAck:
+		return a.join(g.onAck(now, m))
+	case Claim:
+		return a.join(g.machine.OnClaim(now, m))
+	case Clear:
+		return a.join(g.machine.OnClear(now, m))
+	case Holdings:
+		return a.join(g.machine.OnHoldings(now, m))
+	case Contest:
+		return a.join(g.machine.OnContest(m))
+	case Left:
+		a.send(from, LeftAck{From: g.table.Self(), To: from.Incarnation})
+		g.table.End(from.Name, from.PeerAddress)
+		return a.join(g.machine.Tick(now))
+	}
+	return a
+}
+
+func sender(message any) (core.VM, bool) {
+	switch m := message.(type) {
+	case Heartbeat:
+		return m.From, true
+	case HeartbeatAck:
+		return m.From, true
+	case Claim:
+		return m.From, true
+	case Clear:
+		return m.From, true
+	case Holdings:
+		return m.From, true
+	case Contest:
+		return m.From, true
+	case Left:
+		return m.From, true
+	case LeftAck:
+		return m.From, true
+	default:
+		return core.VM{}, false
+	}
+}
+
+func (g *Agent) onHeartbeat(now time.Time, m Heartbeat) Actions {
+	var a Actions
+	ack := HeartbeatAck{From: g.table.Self(), To: m.From.Incarnation, Sent: m.Sent, Revision: g.revision}
+	if own := g.table.Digest(now); own != m.Digest && g.listDue(now, m.From.Name, own, m.Digest) {
+		ack.Known = g.table.Known(now)
+	}
+	ack.WantHoldings = m.From.Domain == g.table.Self().Domain && g.machine.NeedsHoldings(m.From, m.Held)
+	a.send(m.From, ack)
+	return a
+}
+
+func (g *Agent) listDue(now time.Time, name core.VMName, own, theirs uint64) bool {
+	last := g.told[name]
+	if last.own == own && last.theirs == theirs && now.Sub(last.at) < listEvery*g.period {
+		return false
+	}
+	g.told[name] = told{own: own, theirs: theirs, at: now}
+	return true
+}
+
+func (g *Agent) onAck(now time.Time, m HeartbeatAck) Actions {
+	var a Actions
+	if m.To != g.table.Self().Incarnation {
+		return a
+	}
+	g.table.Acknowledged(m.From.Name, g.base.Add(time.Duration(m.Sent)))
+	for _, vm := range m.Known {
+		g.table.Learn(now, vm)
+	}
+	if m.WantHoldings {
+		a.send(m.From, g.machine.Holdings())
+	}
+	return a.join(g.machine.Tick(now))
+}
+
+// Leave tells all members that this VM is leaving and begins to hand over what it holds.
+func (g *Agent) Leave(now time.Time) Actions {
+	a := g.wake(now)
+	g.table.Leave()
+	for _, vm := range g.reachable(now) {
+		a.send(vm, g.heartbeat(now))
+	}
+	return a.join(g.machine.Leave(now))
+}
+
+func (g *Agent) reachable(now time.Time) []core.VM {
+	var vms []core.VM
+	for _, vm := range g.table.Members(now).All {
+		if vm.Name != g.table.Self().Name && vm.State != core.VMGone {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// Farewell tells all members that this VM ends. Call it when the machine is idle.
+func (g *Agent) Farewell(now time.Time) Actions {
+	var a Actions
+	g.farewell = make(map[core.VMName]core.VM)
+	for _, vm := range g.reachable(now) {
+		g.farewell[vm.Name] = vm
+	}
+	for _, name := range sortedKeys(g.farewell) {
+		a.send(g.farewell[name], Left{From: g.table.Self()})
+	}
+	return a
+}
+
+// FarewellDone reports whether every member that is not gone has answered the farewell.
+func (g *Agent) FarewellDone(now time.Time) bool {
+	for name := range g.farewell {
+		if vm, ok := g.table.Find(now, name); !ok || vm.State == core.VMGone {
+			delete(g.farewell, name)
+		}
+	}
+	return g.farewell != nil && len(g.farewell) == 0
+}
+
+func (g *Agent) receiveAfterLeave(message any) Actions {
+	var a Actions
+	switch m := message.(type) {
+	case LeftAck:
+		delete(g.farewell, m.From.Name)
+	case Heartbeat:
+		a.send(m.From, Left{From: g.table.Self()})
+	case Claim:
+		a.send(m.From, Left{From: g.table.Self()})
+	}
+	return a
+}
--- /dev/null
+++ b/coord/ownership/agent_test.go
@@ -0,0 +1,190 @@
+package ownership_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"gooseberrylane.example/coord/ownership"
+	"gooseberrylane.example/core"
+)
+
+// defaultSeed is used unless -rapid.seed names another one.
+const defaultSeed = "20261204"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set(defaultSeed); err != nil {
+			panic(err)
+		}
+	}
+	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+const quiet = 60 * time.Second
+
+func exactlyOneHolder(x *exchange) string {
+	if !slices.ContainsFunc(x.live(), func(n *node) bool { return !n.left }) {
+		return ""
+	}
+	for id := range x.set.Upstreams() {
+		users := x.users(id)
+		if len(users) != 1 || !users[0].agent.Machine().Holds(x.now, id) {
+			return fmt.Sprintf("%s has %d users", id, len(users))
+		}
+	}
+	return ""
+}
+
+// TestOwnershipIsExclusiveUnderFaults guards against two owners that share a member, and against upstreams that nobody
+// takes once the faults are over.
+func TestOwnershipIsExclusiveUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := newExchange(rapid.Uint64().Draw(t, "seed"), 6)
+		x.loss = rapid.Float64Range(0, 0.25).Draw(t, "loss")
+		x.maxDelay = time.Duration(rapid.IntRange(2, 800).Draw(t, "delay_ms")) * time.Millisecond
+		names := []core.VMName{"a", "b", "c", "d", "e"}[:rapid.IntRange(2, 5).Draw(t, "vms")]
+		for _, name := range names {
+			known := rapid.SliceOfDistinct(rapid.SampledFrom(names), func(n core.VMName) core.VMName { return n }).Draw(t, "known")
+			x.start(name, known...)
+		}
+		for range rapid.IntRange(0, 12).Draw(t, "steps") {
+			x.runFor(time.Duration(rapid.IntRange(10, 12_000).Draw(t, "wait_ms")) * time.Millisecond)
+			disturb(t, x, names)
+		}
+		x.runFor(5 * time.Second)
+		x.heal()
+		x.runFor(quiet / 2)
+		x.relist()
+		x.runFor(quiet / 2)
+		if x.fault != "" {
+			t.Fatal(x.fault)
+		}
+		if problem := exactlyOneHolder(x); problem != "" {
+			t.Fatal(problem)
+		}
+	})
+}
+
+func disturb(t *rapid.T, x *exchange, names []core.VMName) {
+	name := rapid.SampledFrom(names).Draw(t, "vm")
+	n := x.find(name)
+	switch kind := rapid.SampledFrom([]string{"kill", "lose", "pause", "leave", "cut", "mend"}).Draw(t, "fault"); {
+	case n.dead && kind != "cut" && kind != "mend":
+		x.start(name, names...)
+	case kind == "kill":
+		n.dead, n.refuses = true, true
+	case kind == "lose":
+		n.dead = true
+	case kind == "pause" && !n.paused:
+		n.paused = true
+		x.after(time.Duration(rapid.IntRange(100, 15_000).Draw(t, "pause_ms"))*time.Millisecond, func() { x.wake(n) })
+	case kind == "leave" && !n.left:
+		n.left = true
+		x.handle(n, func() ownership.Actions { return n.agent.Leave(x.now) })
+	case kind == "cut":
+		x.cut[[2]core.VMName{name, rapid.SampledFrom(names).Draw(t, "peer")}] = true
+	case kind == "mend":
+		clear(x.cut)
+	}
+}
+
+// TestJoinAndLeaveMoveFewUpstreams guards against a member list change that moves more than the share of one VM.
+func TestJoinAndLeaveMoveFewUpstreams(t *testing.T) {
+	c := qt.New(t)
+	const upstreams = 40
+	x := newExchange(1, upstreams)
+	names := []core.VMName{"a", "b", "c", "d"}
+	for _, name := range names {
+		x.start(name)
+	}
+	x.heal()
+	x.runFor(quiet)
+	c.Assert(exactlyOneHolder(x), qt.Equals, "")
+	x.moves = 0
+	e := x.start("e", names...)
+	x.runFor(quiet)
+	c.Assert(exactlyOneHolder(x), qt.Equals, "")
+	joined := len(e.agent.Machine().Held())
+	c.Check(x.moves, qt.Equals, joined)
+	c.Check(joined > 0 && joined < upstreams/2, qt.IsTrue)
+	x.moves = 0
+	e.left = true
+	x.perform(e, e.agent.Leave(x.now))
+	x.runFor(quiet)
+	c.Assert(e.dead, qt.IsTrue)
+	c.Assert(exactlyOneHolder(x), qt.Equals, "")
+	c.Check(x.moves, qt.Equals, joined)
+	c.Check(x.fault, qt.Equals, "")
+}
+
+// TestPausedOwnerHoldsNothingOnWaking guards against a VM that wakes after the fence and sends to what it lost.
+func TestPausedOwnerHoldsNothingOnWaking(t *testing.T) {
+	c := qt.New(t)
+	x := newExchange(2, 12)
+	for _, name := range []core.VMName{"a", "b", "c"} {
+		x.start(name)
+	}
+	x.heal()
+	x.runFor(quiet)
+	a := x.find("a")
+	held := a.agent.Machine().Held()
+	before := a.agent.Table().Self().Incarnation
+	c.Assert(len(held) > 0, qt.IsTrue)
+	a.paused = true
+	x.runFor(quiet)
+	for id := range held {
+		c.Check(x.users(id), qt.HasLen, 1, qt.Commentf("no successor took %s", id))
+		c.Check(a.agent.Machine().Holds(x.now, id), qt.IsFalse, qt.Commentf("the paused VM may still use %s", id))
+	}
+	x.wake(a)
+	x.runFor(quiet)
+	c.Check(a.agent.Table().Self().Incarnation > before, qt.IsTrue)
+	c.Check(exactlyOneHolder(x), qt.Equals, "")
+	c.Check(x.fault, qt.Equals, "")
+}
+
+// TestIsolatedVMClaimsNothing guards against a VM that takes upstreams while it reaches nobody.
+func TestIsolatedVMClaimsNothing(t *testing.T) {
+	c := qt.New(t)
+	x := newExchange(3, 6)
+	a := x.start("a")
+	b := x.start("b")
+	b.dead = true
+	x.perform(a, a.agent.List(x.now, x.listed([]core.VMName{"a", "b"})))
+	x.runFor(quiet)
+	c.Check(a.agent.Machine().Held(), qt.HasLen, 0)
+	b.refuses = true
+	x.runFor(quiet)
+	c.Check(exactlyOneHolder(x), qt.Equals, "", qt.Commentf("the last VM of the domain owns everything"))
+}
+
+// TestClearedClaimIsToldToLaterClaimants guards against two owners with different member lists that ask the same
+// member one after the other.
+func TestClearedClaimIsToldToLaterClaimants(t *testing.T) {
+	c := qt.New(t)
+	x := newExchange(4, 1)
+	x.start("silent").dead = true
+	common := x.start("common", "silent")
+	first := core.VM{Name: "first", Incarnation: 1, Domain: domain, PeerAddress: "first"}
+	second := core.VM{Name: "second", Incarnation: 1, Domain: domain, PeerAddress: "second"}
+	wants := []ownership.Want{{Upstream: "u-0", Round: 1}}
+	common.agent.Receive(x.now, ownership.Claim{From: first, Wants: wants})
+	a := common.agent.Receive(x.now, ownership.Claim{From: second, Wants: wants})
+	var told []core.VM
+	for _, out := range a.Send {
+		if clear, ok := out.Message.(ownership.Clear); ok && out.To.Name == "second" {
+			told = clear.Answers[0].Others
+		}
+	}
+	c.Assert(told, qt.HasLen, 1)
+	c.Check(told[0].Name, qt.Equals, first.Name)
+}
--- /dev/null
+++ b/coord/ownership/claims.go
@@ -0,0 +1,285 @@
+package ownership
+
+import (
+	"time"
+
+	"gooseberrylane.example/core"
+)
+
+func (m *Machine) beginClaim(id core.UpstreamID) {
+	m.round++
+	m.claims[id] = &claim{round: m.round, cleared: make(map[core.VMName]core.Incarnation), ages: make(map[core.VMName]report)}
+}
+
+// sendClaims sends the open claims that are due. A claim goes again to members that cleared it already, because they
+// have to tell again how long others have been silent.
+func (m *Machine) sendClaims(now time.Time, a *Actions) {
+	var wants []Want
+	for _, id := range sortedKeys(m.claims) {
+		c := m.claims[id]
+		if !c.sent.IsZero() && now.Sub(c.sent) < m.settings.Retry {
+			continue
+		}
+		c.sent = now
+		wants = append(wants, Want{Upstream: id, Round: c.round})
+	}
+	if len(wants) == 0 {
+		return
+	}
+	message := Claim{From: m.table.Self(), Wants: wants, Digest: m.table.Digest(now)}
+	neighbours := m.table.Neighbours(now)
+	for i := range neighbours {
+		if neighbours[i].State != core.VMLive && neighbours[i].State != core.VMLeaving {
+			message.Silent = append(message.Silent, neighbours[i].Name)
+		}
+	}
+	for i := range neighbours {
+		if neighbours[i].State != core.VMGone {
+			a.send(neighbours[i], message)
+		}
+	}
+}
+
+// settle takes the upstreams whose claims are complete.
+func (m *Machine) settle(now time.Time, a *Actions) {
+	if !m.mayClaim(now) {
+		return
+	}
+	neighbours := m.table.Neighbours(now)
+	for _, id := range sortedKeys(m.claims) {
+		c := m.claims[id]
+		if !m.complete(now, c, neighbours) {
+			continue
+		}
+		delete(m.claims, id)
+		m.held[id] = c.cleared
+		m.version++
+		a.Changed = true
+	}
+}
+
+// complete reports whether every neighbour has cleared a claim or has been silent for so long, to everyone, that it
+// stopped using what it held.
+func (m *Machine) complete(now time.Time, c *claim, neighbours []core.VM) bool {
+	if c.sent.IsZero() {
+		return false
+	}
+	for i := range neighbours {
+		vm := &neighbours[i]
+		if incarnation, ok := c.cleared[vm.Name]; ok && incarnation == vm.Incarnation {
+			continue
+		}
+		if !m.fenced(now, c, vm) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) fenced(now time.Time, c *claim, vm *core.VM) bool {
+	age, known := m.table.Age(now, vm.Name)
+	if !known || age < m.settings.FenceAfter {
+		return false
+	}
+	for name, said := range c.ages {
+		if silent, ok := m.table.Age(now, name); !ok || silent >= m.settings.FenceAfter {
+			// The member itself has been silent since, so its word is out of date.
+			continue
+		}
+		age, heard := said.ages[vm.Name]
+		if !said.complete || (heard && age < m.settings.FenceAfter) {
+			return false
+		}
+	}
+	return true
+}
+
+// OnClaim answers a claim. The sender must have been heard by the member table first.
+func (m *Machine) OnClaim(now time.Time, message Claim) Actions {
+	var a Actions
+	if message.From.Domain != m.table.Self().Domain {
+		return a
+	}
+	answers := make([]Answer, len(message.Wants))
+	for i, want := range message.Wants {
+		answers[i] = m.decide(now, &a, message.From, want)
+	}
+	reply := Clear{From: m.table.Self(), To: message.From.Incarnation, Answers: answers}
+	if len(message.Silent) > 0 || message.Digest != m.table.Digest(now) {
+		reply.Aged, reply.Ages = true, m.ages(now)
+	}
+	a.send(message.From, reply)
+	return a
+}
+
+// decide answers one want. Between two VMs that want an upstream the higher score wins at both.
+func (m *Machine) decide(now time.Time, a *Actions, from core.VM, want Want) Answer {
+	id := want.Upstream
+	answer := Answer{Upstream: id, Round: want.Round, Verdict: VerdictCleared}
+	wins := !m.leaving && outranks(id, m.table.Self().Name, from.Name)
+	if m.held[id] != nil {
+		if wins {
+			answer.Verdict = VerdictDenied
+			return answer
+		}
+		m.release(a, id)
+	}
+	if waiting := m.releasing[id]; waiting != nil {
+		waiting[from.Name] = waiter{vm: from, round: want.Round}
+		answer.Verdict = VerdictPending
+		return answer
+	}
+	if m.claims[id] != nil {
+		if wins {
+			answer.Verdict = VerdictDenied
+			return answer
+		}
+		delete(m.claims, id)
+		a.Changed = true
+	}
+	answer.Others = m.others(now, id, from.Name)
+	m.remember(id, from)
+	return answer
+}
+
+// outranks reports whether VM a goes before VM b for an upstream.
+func outranks(id core.UpstreamID, a, b core.VMName) bool {
+	scoreA, scoreB := Score(id, a), Score(id, b)
+	return scoreA > scoreB || (scoreA == scoreB && a < b)
+}
+
+func (m *Machine) remember(id core.UpstreamID, vm core.VM) {
+	if m.remembered[id] == nil {
+		m.remembered[id] = make(map[core.VMName]core.VM)
+	}
+	m.remembered[id][vm.Name] = vm
+}
+
+// others returns the VMs that may hold an upstream as far as this VM knows.
+func (m *Machine) others(now time.Time, id core.UpstreamID, except core.VMName) []core.VM {
+	found := make(map[core.VMName]core.VM)
+	for name, vm := range m.remembered[id] {
+		found[name] = vm
+	}
+	for name, h := range m.holdings {
+		if vm, ok := m.table.Find(now, name); h.upstreams[id] && ok {
+			found[name] = vm
+		}
+	}
+	delete(found, except)
+	var list []core.VM
+	for _, name := range sortedKeys(found) {
+		list = append(list, found[name])
+	}
+	return list
+}
+
+// ages lists the neighbours that this VM heard within FenceAfter.
+func (m *Machine) ages(now time.Time) []Age {
+	var ages []Age
+	for _, vm := range m.table.Neighbours(now) {
+		if age, ok := m.table.Age(now, vm.Name); ok && age < m.settings.FenceAfter {
+			ages = append(ages, Age{VM: vm, Age: age})
+		}
+	}
+	return ages
+}
+
+// OnClear handles the answer to a claim. VMs that the answer names become members that have to clear as well.
+func (m *Machine) OnClear(now time.Time, message Clear) Actions {
+	var a Actions
+	if message.To != m.table.Self().Incarnation {
+		return a
+	}
+	said := report{complete: message.Aged, ages: make(map[core.VMName]time.Duration, len(message.Ages))}
+	for _, age := range message.Ages {
+		m.table.Learn(now, age.VM)
+		said.ages[age.VM.Name] = age.Age
+	}
+	for _, answer := range message.Answers {
+		for _, vm := range answer.Others {
+			m.table.Learn(now, vm)
+		}
+		c := m.claims[answer.Upstream]
+		if c == nil || c.round != answer.Round {
+			continue
+		}
+		c.ages[message.From.Name] = said
+		if answer.Verdict == VerdictCleared {
+			c.cleared[message.From.Name] = message.From.Incarnation
+		} else {
+			delete(c.cleared, message.From.Name)
+		}
+	}
+	m.settle(now, &a)
+	return a
+}
+
+// NeedsHoldings reports whether a member holds something else than this VM knows.
+func (m *Machine) NeedsHoldings(vm core.VM, version uint64) bool {
+	h, known := m.holdings[vm.Name]
+	if !known || h.incarnation != vm.Incarnation {
+		return version != 0
+	}
+	return h.version < version
+}
+
+// OnHoldings records what a member holds. When two VMs hold the same upstream, the lower score gives it up.
+func (m *Machine) OnHoldings(now time.Time, message Holdings) Actions {
+	var a Actions
+	old, known := m.holdings[message.From.Name]
+	if message.From.Domain != m.table.Self().Domain || (known && old.incarnation == message.From.Incarnation && old.version > message.Version) {
+		return a
+	}
+	h := holding{incarnation: message.From.Incarnation, version: message.Version, upstreams: make(map[core.UpstreamID]bool, len(message.Upstreams))}
+	for _, id := range message.Upstreams {
+		h.upstreams[id] = true
+		m.yield(&a, id, message.From)
+		m.compare(now, &a, id, message.From)
+	}
+	m.holdings[message.From.Name] = h
+	a.Changed = true
+	return a
+}
+
+// yield releases an upstream that a rival with a higher score holds too. A rival that cleared it for this VM told
+// something out of date.
+func (m *Machine) yield(a *Actions, id core.UpstreamID, rival core.VM) {
+	clearedBy := m.held[id]
+	if clearedBy == nil {
+		return
+	}
+	if incarnation, ok := clearedBy[rival.Name]; ok && incarnation >= rival.Incarnation {
+		return
+	}
+	if outranks(id, rival.Name, m.table.Self().Name) {
+		m.release(a, id)
+	}
+}
+
+// compare tells the lower of two other holders of an upstream about the higher one.
+func (m *Machine) compare(now time.Time, a *Actions, id core.UpstreamID, from core.VM) {
+	for name, h := range m.holdings {
+		if name == from.Name || !h.upstreams[id] {
+			continue
+		}
+		vm, ok := m.table.Find(now, name)
+		if !ok {
+			continue
+		}
+		low, high := from, vm
+		if outranks(id, low.Name, high.Name) {
+			low, high = high, low
+		}
+		a.send(low, Contest{From: m.table.Self(), To: low.Incarnation, Upstream: id, Rival: high})
+	}
+}
+
+// OnContest handles the word of a member that a rival holds the same upstream.
+func (m *Machine) OnContest(message Contest) Actions {
+	var a Actions
+	if message.To == m.table.Self().Incarnation {
+		m.yield(&a, message.Upstream, message.Rival)
+	}
+	return a
+}
--- /dev/null
+++ b/coord/ownership/machine.go
@@ -0,0 +1,278 @@
+package ownership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"gooseberrylane.example/coord/membership"
+	"gooseberrylane.example/core"
+)
+
+// Settings are the timing rules of claims.
+type Settings struct {
+	// HoldFor is how long a holder uses what it owns after it sent the last heartbeat that was acknowledged.
+	HoldFor time.Duration
+	// FenceAfter is the silence after which a member counts as having cleared. It must be longer than HoldFor.
+	FenceAfter time.Duration
+	// Retry is the time between two sends of an open claim.
+	Retry time.Duration
+}
+
+// Defaults returns the settings of the design page.
+func Defaults() Settings {
+	return Settings{HoldFor: 3 * time.Second, FenceAfter: 6 * time.Second, Retry: 500 * time.Millisecond}
+}
+
+// dropAfter is the isolation after which a holder gives up what it owns instead of only suspending it. It lies between
+// HoldFor and FenceAfter, so that a holder whose peers return never resumes what a fence has passed on.
+func (s *Settings) dropAfter() time.Duration { return (s.HoldFor + s.FenceAfter) / 2 }
+
+// claim is an open claim of this VM.
+type claim struct {
+	round uint64
+	// cleared holds the incarnations of the members that cleared it.
+	cleared map[core.VMName]core.Incarnation
+	// ages holds the last ages that each member reported for this round.
+	ages map[core.VMName]report
+	sent time.Time
+}
+
+// report is what one member said about the silence of others.
+type report struct {
+	// complete is false when the member was not asked for ages.
+	complete bool
+	ages     map[core.VMName]time.Duration
+}
+
+// holding is what a member said that it holds.
+type holding struct {
+	incarnation core.Incarnation
+	version     uint64
+	upstreams   map[core.UpstreamID]bool
+}
+
+// waiter is a claimant that waits for a release.
+type waiter struct {
+	vm    core.VM
+	round uint64
+}
+
+// Machine decides which upstreams of its failure domain one VM holds. It is not safe for concurrent use.
+type Machine struct {
+	settings Settings
+	table    *membership.Table
+	hold     *core.Hold
+	set      *core.ConfigSet
+	assigned Assignment
+	// upstreams are the upstreams of the own failure domain.
+	upstreams map[core.UpstreamID]*core.Upstream
+	// held maps each held upstream to the incarnations of the members that cleared it.
+	held      map[core.UpstreamID]map[core.VMName]core.Incarnation
+	releasing map[core.UpstreamID]map[core.VMName]waiter
+	claims    map[core.UpstreamID]*claim
+	// remembered holds the claimants that this VM cleared each upstream for and that may still hold it.
+	remembered map[core.UpstreamID]map[core.VMName]core.VM
+	holdings   map[core.VMName]holding
+	version    uint64
+	round      uint64
+	leaving    bool
+	// contact is the newest time at which this VM knew that it was not isolated.
+	contact time.Time
+}
+
+// New returns a machine that holds nothing. hold is shared with the published ownership.
+func New(settings Settings, table *membership.Table, hold *core.Hold) *Machine {
+	return &Machine{
+		settings: settings, table: table, hold: hold, set: (&core.ConfigSet{}).Index(),
+		upstreams: make(map[core.UpstreamID]*core.Upstream), held: make(map[core.UpstreamID]map[core.VMName]core.Incarnation),
+		releasing: make(map[core.UpstreamID]map[core.VMName]waiter), claims: make(map[core.UpstreamID]*claim),
+		remembered: make(map[core.UpstreamID]map[core.VMName]core.VM), holdings: make(map[core.VMName]holding),
+	}
+}
+
+// Configure sets the upstreams in force. Upstreams that are gone are released.
+func (m *Machine) Configure(now time.Time, set *core.ConfigSet) Actions {
+	var a Actions
+	domain := m.table.Self().Domain
+	next := make(map[core.UpstreamID]*core.Upstream)
+	for id, upstream := range set.Upstreams() {
+		if upstream.Domain == domain {
+			next[id] = upstream
+		}
+	}
+	m.set, m.upstreams = set, next
+	for _, id := range sortedKeys(m.held) {
+		if next[id] == nil {
+			m.release(&a, id)
+		}
+	}
+	maps.DeleteFunc(m.remembered, func(id core.UpstreamID, _ map[core.VMName]core.VM) bool { return next[id] == nil })
+	a.Changed = true
+	return a.join(m.Tick(now))
+}
+
+func (a Actions) join(b Actions) Actions {
+	return Actions{Send: append(a.Send, b.Send...), Release: append(a.Release, b.Release...), Changed: a.Changed || b.Changed}
+}
+
+// Held returns the held upstreams.
+func (m *Machine) Held() map[core.UpstreamID]bool {
+	held := make(map[core.UpstreamID]bool, len(m.held))
+	for id := range m.held {
+		held[id] = true
+	}
+	return held
+}
+
+// Holds reports whether this VM may use an upstream at a time.
+func (m *Machine) Holds(now time.Time, id core.UpstreamID) bool {
+	return m.held[id] != nil && m.hold.Valid(now)
+}
+
+// Holdings returns what this VM tells others that it holds. Upstreams that are being released are still in use.
+func (m *Machine) Holdings() Holdings {
+	h := Holdings{From: m.table.Self(), Version: m.version, Upstreams: sortedKeys(m.held)}
+	h.Upstreams = append(h.Upstreams, sortedKeys(m.releasing)...)
+	return h
+}
+
+// Version changes whenever Holdings changes.
+func (m *Machine) Version() uint64 { return m.version }
+
+// Idle reports whether this VM holds and releases nothing.
+func (m *Machine) Idle() bool { return len(m.held) == 0 && len(m.releasing) == 0 }
+
+// Tick handles the passing of time and changes of the member table.
+func (m *Machine) Tick(now time.Time) Actions {
+	var a Actions
+	m.extendHold(now, &a)
+	m.forget(now)
+	a.Changed = m.assigned.Update(m.set, m.table.Members(now)) || a.Changed
+	if m.leaving && !m.hasSuccessor(now) {
+		m.dropAll(&a)
+	}
+	if !m.mayClaim(now) {
+		clear(m.claims)
+		return a
+	}
+	self := m.table.Self().Name
+	for _, id := range sortedKeys(m.upstreams) {
+		if m.assigned.Candidate(id) != self {
+			delete(m.claims, id)
+			continue
+		}
+		if m.held[id] == nil && m.releasing[id] == nil && m.claims[id] == nil {
+			m.beginClaim(id)
+		}
+	}
+	m.sendClaims(now, &a)
+	m.settle(now, &a)
+	return a
+}
+
+// mayClaim reports whether claims are allowed: an isolated VM makes none.
+func (m *Machine) mayClaim(now time.Time) bool {
+	return !m.leaving && m.table.Introduced() && m.hold.Valid(now)
+}
+
+// extendHold moves the end of the hold, and gives up everything after too long an isolation.
+func (m *Machine) extendHold(now time.Time, a *Actions) {
+	if m.table.Alone() {
+		m.contact = now
+	} else if last := m.table.LastAcknowledged(); last.After(m.contact) {
+		m.contact = last
+	}
+	if m.contact.IsZero() {
+		m.hold.End()
+		return
+	}
+	m.hold.Extend(m.contact.Add(m.settings.HoldFor))
+	if now.Sub(m.contact) >= m.settings.dropAfter() {
+		m.dropAll(a)
+	}
+}
+
+// Paused handles a pause of this VM: others may have taken over, so everything is given up.
+func (m *Machine) Paused() Actions {
+	var a Actions
+	m.hold.End()
+	m.contact = time.Time{}
+	m.dropAll(&a)
+	clear(m.claims)
+	return a
+}
+
+func (m *Machine) dropAll(a *Actions) {
+	for _, id := range sortedKeys(m.held) {
+		m.release(a, id)
+	}
+}
+
+// release stops the use of a held upstream. It is cleared for others once the driver reports Released.
+func (m *Machine) release(a *Actions, id core.UpstreamID) {
+	delete(m.held, id)
+	m.releasing[id] = make(map[core.VMName]waiter)
+	m.version++
+	a.Release = append(a.Release, id)
+	a.Changed = true
+}
+
+// Leave stops claiming. Held upstreams are released as others claim them, or at once when nobody is left to do so.
+func (m *Machine) Leave(now time.Time) Actions {
+	var a Actions
+	m.leaving = true
+	clear(m.claims)
+	a.Changed = true
+	if !m.hasSuccessor(now) {
+		m.dropAll(&a)
+	}
+	return a
+}
+
+func (m *Machine) hasSuccessor(now time.Time) bool {
+	return slices.ContainsFunc(m.table.Neighbours(now), func(vm core.VM) bool { return vm.State == core.VMLive })
+}
+
+// GiveUp releases everything that is still held, for a leave that ran out of time.
+func (m *Machine) GiveUp() Actions {
+	var a Actions
+	m.dropAll(&a)
+	return a
+}
+
+// Released handles the end of a release: the claimants that wait for it are answered.
+func (m *Machine) Released(now time.Time, id core.UpstreamID) Actions {
+	var a Actions
+	waiting := m.releasing[id]
+	delete(m.releasing, id)
+	m.version++
+	a.Changed = true
+	for _, name := range sortedKeys(waiting) {
+		w := waiting[name]
+		answer := m.decide(now, &a, w.vm, Want{Upstream: id, Round: w.round})
+		a.send(w.vm, Clear{From: m.table.Self(), To: w.vm.Incarnation, Answers: []Answer{answer}, Aged: true, Ages: m.ages(now)})
+	}
+	return a
+}
+
+// forget drops what members said that are gone or have a new incarnation.
+func (m *Machine) forget(now time.Time) {
+	valid := func(vm core.VM) bool {
+		known, ok := m.table.Find(now, vm.Name)
+		return ok && known.Incarnation == vm.Incarnation && known.State != core.VMGone
+	}
+	for id, vms := range m.remembered {
+		maps.DeleteFunc(vms, func(_ core.VMName, vm core.VM) bool { return !valid(vm) })
+		if len(vms) == 0 {
+			delete(m.remembered, id)
+		}
+	}
+	maps.DeleteFunc(m.holdings, func(name core.VMName, h holding) bool {
+		return !valid(core.VM{Name: name, Incarnation: h.incarnation})
+	})
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/core/view.go
+++ b/core/view.go
@@ -35,6 +35,7 @@
 
 // VM is one entry VM in a member list.
 type VM struct {
+	_           struct{}      `cbor:",toarray"`
 	Name        VMName        `json:"name"`
 	Incarnation Incarnation   `json:"incarnation"`
 	Domain      FailureDomain `json:"domain"`
@@ -66,10 +67,37 @@
 type Ownership struct {
 	// Owner holds the believed owner of each upstream.
 	Owner map[UpstreamID]VMName
-	// Held is the set of upstreams that this VM may use itself.
+	// Held is the set of upstreams that this VM may use itself while Hold is valid.
 	Held map[UpstreamID]bool
+	// Hold bounds the use of Held in time; nil means no bound.
+	Hold *Hold
 }
 
+// Usable reports whether this VM may send work to an upstream now. It is called right before each send, so that a VM
+// that was paused notices before it sends.
+func (o *Ownership) Usable(id UpstreamID, now time.Time) bool {
+	return o.Held[id] && (o.Hold == nil || o.Hold.Valid(now))
+}
+
+// Hold is the time until which a VM may use what it owns. Consecutive views share it by pointer. It compares by the
+// monotonic clock.
+type Hold struct {
+	base  time.Time
+	until atomic.Int64
+}
+
+// NewHold returns a hold that is not valid. base must carry a reading of the monotonic clock.
+func NewHold(base time.Time) *Hold { return &Hold{base: base} }
+
+// Extend sets the end of the hold.
+func (h *Hold) Extend(until time.Time) { h.until.Store(int64(until.Sub(h.base))) }
+
+// End makes the hold invalid.
+func (h *Hold) End() { h.until.Store(0) }
+
+// Valid reports whether the hold lasts at a time.
+func (h *Hold) Valid(now time.Time) bool { return int64(now.Sub(h.base)) < h.until.Load() }
+
 // Window is the range of index versions that an upstream holds. The zero value means not known.
 type Window struct {
 	Oldest IndexVersion `json:"oldest"`
