Make peer links robust and follow not_owner hints

A failed dial ended all sub-requests to a VM as lost, although nothing had been written, and each message to a dead VM dialed it again. Results written to a silent link were lost.

A link now reports which messages were certainly not delivered and which were written but not confirmed by a later ping. Dials of an address that failed back off with jitter. A link follows a replaced VM, and a VM at a reused address refuses links that mean another one. A stop writes what is queued before it closes links.

A sub-request that was refused with not_owner follows the hint, and waits at a VM that is taking over, because such a refusal proves that it did not run. The executor asks right before each send whether the VM may still use the upstream, and waits for work in flight when an upstream is released.

--- a/kernel/kinds/kinds.go
+++ b/kernel/kinds/kinds.go
@@ -135,16 +135,29 @@
 	MessageName() string
 }
 
+// LinkDown tells that a link to a VM ended. Several events of one link may follow each other.
+type LinkDown struct {
+	VM core.VM
+	// Written is true when earlier messages were written to the link; the VM may have received them or not.
+	Written bool
+	// Refused is true when nothing listened at the address of the VM.
+	Refused bool
+	// Undelivered holds accepted messages that were certainly not delivered.
+	Undelivered []Message
+	// Unconfirmed holds the written messages of which no later sign proves that the VM received them.
+	Unconfirmed []Message
+}
+
 // Peers carries messages between VMs. Delivery is at most once and in no certain order.
 type Peers interface {
-	// Send sends a message to a VM at its peer address. The error tells that the message was certainly not delivered,
-	// or that the link failed; a nil error does not prove delivery.
+	// Send sends a message to a VM at its peer address. The error tells that the message was certainly not delivered; a
+	// nil error does not prove delivery. Do not change the message afterwards.
 	Send(ctx context.Context, to core.VM, m Message) error
 	// Handle registers the handler of a message. prototype is a zero value of the message type. Handlers run on the
 	// goroutine of the link and must not block. Register before the application starts.
 	Handle(prototype Message, handler func(from core.VM, m Message))
-	// OnLinkDown registers a function that is called with the name of a VM when the link to it failed.
-	OnLinkDown(f func(vm core.VMName))
+	// OnLinkDown registers a function that is called when a link to a VM ended. It must not block.
+	OnLinkDown(f func(down LinkDown))
 }
 
 // Membership keeps the members and the ownership in the view up to date.
--- a/plugins/configuration/log/progress.go
+++ b/plugins/configuration/log/progress.go
@@ -84,10 +84,10 @@
 }
 
 // onLinkDown ends the wait for the answer of a VM.
-func (s *service) onLinkDown(vm core.VMName) {
+func (s *service) onLinkDown(down kinds.LinkDown) {
 	s.asks.Range(func(_, waiting any) bool {
 		select {
-		case waiting.(chan told) <- told{vm: vm, lost: true}:
+		case waiting.(chan told) <- told{vm: down.VM.Name, lost: true}:
 		default:
 		}
 		return true
--- /dev/null
+++ b/plugins/dispatch/owner/hints.go
@@ -0,0 +1,39 @@
+package owner
+
+import (
+	"sync"
+	"time"
+
+	"gooseberrylane.example/core"
+)
+
+// hints are owners that not_owner refusals named. They go before the published ownership for a short time, so that
+// during a move each sub-request does not ask the old owner first.
+type hints struct{ byUpstream sync.Map }
+
+type hint struct {
+	vm    core.VMName
+	until time.Time
+}
+
+// owner returns the believed owner of an upstream.
+func (h *hints) owner(now time.Time, id core.UpstreamID, published *core.Ownership) core.VMName {
+	if value, ok := h.byUpstream.Load(id); ok {
+		if known := value.(hint); now.Before(known.until) {
+			return known.vm
+		}
+		h.byUpstream.CompareAndDelete(id, value)
+	}
+	return published.Owner[id]
+}
+
+func (h *hints) store(id core.UpstreamID, vm core.VMName, until time.Time) {
+	h.byUpstream.Store(id, hint{vm: vm, until: until})
+}
+
+// forget drops a hint that proved wrong.
+func (h *hints) forget(id core.UpstreamID, vm core.VMName) {
+	if value, ok := h.byUpstream.Load(id); ok && value.(hint).vm == vm {
+		h.byUpstream.CompareAndDelete(id, value)
+	}
+}
--- a/plugins/dispatch/owner/owner.go
+++ b/plugins/dispatch/owner/owner.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -15,22 +16,47 @@
 func init() {
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.DispatchKind, Name: "owner",
-		Options: func(any) fx.Option { return fx.Provide(newDispatcher) },
+		Settings: func() any {
+			return &Settings{MoveWaitMS: defaultMoveWaitMS, MaxFollows: defaultMaxFollows, HintMS: defaultHintMS}
+		},
+		Options: func(s any) fx.Option {
+			return fx.Provide(func(lc fx.Lifecycle, p params) kinds.Dispatcher { return newDispatcher(lc, p, s.(*Settings)) })
+		},
 	})
 }
 
+const (
+	defaultMoveWaitMS = 1000
+	defaultMaxFollows = 4
+	defaultHintMS     = 1000
+)
+
+// Settings of the plug-in.
+type Settings struct {
+	// MoveWaitMS is how long a sub-request waits at a VM that is taking over its upstream, in milliseconds. Default 1000.
+	MoveWaitMS int64 `json:"move_wait_ms" validate:"gte=0,lte=60000"`
+	// MaxFollows bounds how often a sub-request that was refused with not_owner is sent to the VM that the refusal
+	// names. Default 4.
+	MaxFollows int `json:"max_follows" validate:"gte=0,lte=16"`
+	// HintMS is how long the VM that a refusal names is taken for the owner, in milliseconds. Default 1000.
+	HintMS int64 `json:"hint_ms" validate:"gte=0,lte=60000"`
+}
+
 type params struct {
 	fx.In
 	State    *kernel.State
 	Identity kernel.Identity
+	Clock    kernel.Clock
 	Executor kinds.Executor
 	Peers    kinds.Peers
 }
 
 // pending is an attempt that was sent to another VM.
 type pending struct {
-	attempt core.AttemptID
-	owner   core.VMName
+	ctx     context.Context
+	leg     core.Leg
+	vm      core.VM
+	follows int
 	deliver func(core.LegResult)
 }
 
@@ -44,17 +70,19 @@
 type dispatcher struct {
 	params
 	// pending maps the sequence of an attempt of this VM to *pending; running maps running to its cancel function.
-	pending sync.Map
-	running sync.Map
-	local   sync.Map
+	pending  sync.Map
+	running  sync.Map
+	local    sync.Map
+	hints    hints
+	settings *Settings
 	// base is cancelled when the dispatcher stops.
 	base   context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 }
 
-func newDispatcher(lc fx.Lifecycle, p params) kinds.Dispatcher {
-	d := &dispatcher{params: p}
+func newDispatcher(lc fx.Lifecycle, p params, settings *Settings) kinds.Dispatcher {
+	d := &dispatcher{params: p, settings: settings}
 	d.base, d.cancel = context.WithCancel(context.Background())
 	p.Peers.Handle(legsMessage{}, d.onLegs)
 	p.Peers.Handle(resultsMessage{}, d.onResults)
@@ -82,16 +110,21 @@
 
 // Send implements kinds.Dispatcher.
 func (d *dispatcher) Send(ctx context.Context, legs []core.Leg, deliver func(core.LegResult)) {
+	d.route(ctx, legs, 0, deliver)
+}
+
+// route sends legs to the believed owners of their upstreams.
+func (d *dispatcher) route(ctx context.Context, legs []core.Leg, follows int, deliver func(core.LegResult)) {
 	ownership := d.State.Load().Ownership
 	remote := make(map[core.VMName][]core.Leg)
 	for _, leg := range legs {
 		owner := leg.Via
 		if owner == "" {
-			owner = ownership.Owner[leg.Upstream]
+			owner = d.hints.owner(d.Clock.Now(), leg.Upstream, ownership)
 		}
 		switch owner {
 		case d.Identity.VM:
-			d.runLocal(ctx, leg, deliver)
+			d.runLocal(ctx, leg, follows, deliver)
 		case "":
 			deliver(core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeUnreachable})
 		default:
@@ -99,34 +132,73 @@
 		}
 	}
 	for owner, group := range remote {
-		d.sendRemote(ctx, owner, group, deliver)
+		d.sendRemote(ctx, owner, group, follows, deliver)
 	}
 }
 
-func (d *dispatcher) runLocal(ctx context.Context, leg core.Leg, deliver func(core.LegResult)) {
-	ctx, cancel := context.WithDeadline(ctx, leg.NotAfter)
+func (d *dispatcher) runLocal(ctx context.Context, leg core.Leg, follows int, deliver func(core.LegResult)) {
+	work, cancel := context.WithDeadline(ctx, leg.NotAfter)
 	d.local.Store(leg.Attempt.Sequence, cancel)
 	d.work.Go(func() {
-		defer cancel()
-		defer d.local.Delete(leg.Attempt.Sequence)
-		deliver(d.Executor.Execute(ctx, leg))
+		result := d.execute(work, leg)
+		d.local.Delete(leg.Attempt.Sequence)
+		cancel()
+		d.finish(ctx, leg, d.Identity.VM, follows, deliver, result)
 	})
 }
 
-func (d *dispatcher) sendRemote(ctx context.Context, owner core.VMName, legs []core.Leg, deliver func(core.LegResult)) {
+// execute runs a leg. While this VM is taking over the upstream, the leg waits, because it is at the right VM.
+func (d *dispatcher) execute(ctx context.Context, leg core.Leg) core.LegResult {
+	timer := time.NewTimer(time.Duration(d.settings.MoveWaitMS) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		changed := d.State.Changed()
+		result := d.Executor.Execute(ctx, leg)
+		if result.Code != core.CodeNotOwner || result.Owner != d.Identity.VM {
+			return result
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return result
+		case <-ctx.Done():
+			return result
+		}
+	}
+}
+
+// finish delivers a result, or sends the leg on when the VM that was asked named another owner. Such a leg certainly
+// did not run.
+func (d *dispatcher) finish(ctx context.Context, leg core.Leg, asked core.VMName, follows int, deliver func(core.LegResult), result core.LegResult) {
+	if result.Code != core.CodeNotOwner {
+		deliver(result)
+		return
+	}
+	d.hints.forget(leg.Upstream, asked)
+	if result.Owner == "" || result.Owner == asked || follows >= d.settings.MaxFollows || ctx.Err() != nil {
+		deliver(result)
+		return
+	}
+	d.hints.store(leg.Upstream, result.Owner, d.Clock.Now().Add(time.Duration(d.settings.HintMS)*time.Millisecond))
+	leg.Via = ""
+	d.route(ctx, []core.Leg{leg}, follows+1, deliver)
+}
+
+func (d *dispatcher) sendRemote(ctx context.Context, owner core.VMName, legs []core.Leg, follows int, deliver func(core.LegResult)) {
 	vm := d.State.Load().Members.Find(owner)
 	if vm == nil {
 		notDelivered(legs, deliver)
 		return
 	}
 	for i := range legs {
-		d.pending.Store(legs[i].Attempt.Sequence, &pending{attempt: legs[i].Attempt, owner: owner, deliver: deliver})
+		d.pending.Store(legs[i].Attempt.Sequence, &pending{ctx: ctx, leg: legs[i], vm: *vm, follows: follows, deliver: deliver})
 	}
 	if err := d.Peers.Send(ctx, *vm, encodeLegs(legs)); err != nil {
 		for i := range legs {
-			d.pending.Delete(legs[i].Attempt.Sequence)
+			if _, open := d.pending.LoadAndDelete(legs[i].Attempt.Sequence); open {
+				notDelivered(legs[i:i+1], deliver)
+			}
 		}
-		notDelivered(legs, deliver)
 		return
 	}
 	context.AfterFunc(ctx, func() { d.forget(*vm, legs) })
@@ -158,7 +230,7 @@
 			continue
 		}
 		if p, ok := d.pending.Load(leg.Attempt.Sequence); ok {
-			owner := p.(*pending).owner
+			owner := p.(*pending).vm.Name
 			remote[owner] = append(remote[owner], leg)
 		}
 	}
@@ -193,7 +265,7 @@
 		}
 		d.work.Go(func() {
 			defer cancel()
-			result := d.Executor.Execute(ctx, leg)
+			result := d.execute(ctx, leg)
 			d.running.Delete(key)
 			// A lost result looks like a late one to the other VM.
 			_ = d.Peers.Send(d.base, from, resultsMessage{Started: m.Started, Results: []wireResult{encodeResult(result)}})
@@ -212,7 +284,7 @@
 			continue
 		}
 		p := value.(*pending)
-		p.deliver(m.Results[i].result(p.attempt))
+		d.finish(p.ctx, p.leg, p.vm.Name, p.follows, p.deliver, m.Results[i].result(p.leg.Attempt))
 	}
 }
 
@@ -224,16 +296,3 @@
 		}
 	}
 }
-
-// onLinkDown ends the attempts whose results can no longer be expected from a VM.
-func (d *dispatcher) onLinkDown(vm core.VMName) {
-	d.pending.Range(func(key, value any) bool {
-		p := value.(*pending)
-		if p.owner == vm {
-			if _, ok := d.pending.LoadAndDelete(key); ok {
-				p.deliver(core.LegResult{Attempt: p.attempt, Code: core.CodeConnectionLost})
-			}
-		}
-		return true
-	})
-}
--- a/plugins/executor/slots/slots.go
+++ b/plugins/executor/slots/slots.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,22 +63,23 @@
 	// targets is replaced as a whole; requests load it without a lock.
 	targets atomic.Pointer[map[core.UpstreamID]*target]
 	writers sync.Mutex
-	base    context.Context
-	stop    context.CancelFunc
-	done    sync.WaitGroup
+	// releasing holds targets whose work has not ended; writers guards it.
+	releasing map[core.UpstreamID][]*target
+	base      context.Context
+	stop      context.CancelFunc
+	done      sync.WaitGroup
 }
 
 func newExecutor(lc fx.Lifecycle, p params, settings *Settings) *executor {
-	e := &executor{params: p, settings: settings}
+	e := &executor{params: p, settings: settings, releasing: make(map[core.UpstreamID][]*target)}
+	e.base, e.stop = context.WithCancel(context.Background())
 	e.targets.Store(&map[core.UpstreamID]*target{})
 	lc.Append(fx.Hook{OnStart: e.start, OnStop: e.shutdown})
 	return e
 }
 
 func (e *executor) start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	e.base, e.stop = ctx, cancel
-	e.done.Go(func() { e.follow(ctx) })
+	e.done.Go(func() { e.follow(e.base) })
 	return nil
 }
 
@@ -96,7 +98,7 @@
 	defer probe.Stop()
 	for {
 		changed := e.State.Changed()
-		e.reconcile(ctx)
+		e.reconcile()
 		select {
 		case <-changed:
 		case <-probe.C:
@@ -107,10 +109,11 @@
 	}
 }
 
-func (e *executor) reconcile(ctx context.Context) {
-	view := e.State.Load()
+func (e *executor) reconcile() {
 	e.writers.Lock()
 	defer e.writers.Unlock()
+	// A view that was loaded before the lock could be older than a release.
+	view := e.State.Load()
 	current := *e.targets.Load()
 	next := make(map[core.UpstreamID]*target, len(view.Ownership.Held))
 	changed := false
@@ -126,7 +129,7 @@
 		t := e.open(*upstream)
 		next[id] = t
 		changed = true
-		e.done.Go(func() { e.warm(ctx, t) })
+		e.done.Go(func() { e.warm(e.base, t) })
 	}
 	if !changed && len(next) == len(current) {
 		return
@@ -134,14 +137,32 @@
 	e.targets.Store(&next)
 	for id, t := range current {
 		if next[id] != t {
-			e.done.Go(func() { t.release(ctx) })
+			e.release(t)
 		}
 	}
 }
 
+// release ends the work of a target in the background. The caller holds writers.
+func (e *executor) release(t *target) {
+	id := t.upstream.ID
+	e.releasing[id] = append(e.releasing[id], t)
+	e.done.Go(func() {
+		// Only the end of the executor cuts the wait short.
+		_ = t.release(e.base)
+		close(t.drained)
+		e.writers.Lock()
+		defer e.writers.Unlock()
+		e.releasing[id] = slices.DeleteFunc(e.releasing[id], func(other *target) bool { return other == t })
+		if len(e.releasing[id]) == 0 {
+			delete(e.releasing, id)
+		}
+	})
+}
+
 func (e *executor) open(upstream core.Upstream) *target {
 	limit := max(int(float64(upstream.Connections)*connectionShare), 1)
 	t := newTarget(upstream, e.Transport.Open(upstream, limit), e.Clock, e.settings.QueuePerSlot)
+	t.usable = func() bool { return e.usable(upstream.ID) }
 	if state := e.State.Load().State(upstream.ID); state != nil && state.DrainSince.Load() != 0 {
 		// Another VM told before this one held the upstream.
 		e.answered(t)
@@ -184,7 +205,7 @@
 
 // Execute implements kinds.Executor.
 func (e *executor) Execute(ctx context.Context, leg core.Leg) core.LegResult {
-	t := (*e.targets.Load())[leg.Upstream]
+	t := e.target(leg.Upstream)
 	if t == nil {
 		return e.notOwner(leg)
 	}
@@ -195,6 +216,9 @@
 		return core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeDraining}
 	}
 	result := t.execute(ctx, &leg)
+	if result.Code == core.CodeNotOwner {
+		return e.notOwner(leg)
+	}
 	if result.Draining || result.Code == core.CodeDraining {
 		e.answered(t)
 	}
@@ -212,11 +236,31 @@
 	state.SetWindow(result.Window)
 }
 
+func (e *executor) usable(id core.UpstreamID) bool {
+	return e.State.Load().Ownership.Usable(id, e.Clock.Now())
+}
+
+// target returns the target of an upstream that this VM may use now, or nil.
+func (e *executor) target(id core.UpstreamID) *target {
+	if !e.usable(id) {
+		return nil
+	}
+	if t := (*e.targets.Load())[id]; t != nil {
+		return t
+	}
+	// The upstream was taken over a moment ago.
+	e.reconcile()
+	return (*e.targets.Load())[id]
+}
+
+// notOwner refuses a leg with the believed owner as a hint. A VM that holds the upstream but must not use it now knows
+// no better one.
 func (e *executor) notOwner(leg core.Leg) core.LegResult {
-	view := e.State.Load()
-	return core.LegResult{
-		Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeNotOwner, Owner: view.Ownership.Owner[leg.Upstream],
+	result := core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeNotOwner}
+	if ownership := e.State.Load().Ownership; !ownership.Held[leg.Upstream] {
+		result.Owner = ownership.Owner[leg.Upstream]
 	}
+	return result
 }
 
 // describe answers a leg without a version with the window of index versions and runs nothing. It probes the upstream
@@ -239,15 +283,20 @@
 func (e *executor) Release(ctx context.Context, id core.UpstreamID) error {
 	e.writers.Lock()
 	current := *e.targets.Load()
-	t := current[id]
-	if t != nil {
+	if t := current[id]; t != nil {
 		next := maps.Clone(current)
 		delete(next, id)
 		e.targets.Store(&next)
+		e.release(t)
 	}
+	open := slices.Clone(e.releasing[id])
 	e.writers.Unlock()
-	if t == nil {
-		return nil
+	for _, t := range open {
+		select {
+		case <-t.drained:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	return t.release(ctx)
+	return nil
 }
--- a/plugins/executor/slots/target.go
+++ b/plugins/executor/slots/target.go
@@ -24,6 +24,11 @@
 	free     atomic.Int64
 	queued   atomic.Int64
 	closing  atomic.Bool
+	// drained is closed when the release has ended.
+	drained chan struct{}
+	// usable is asked right before each send, because the VM may have lost the upstream or been paused during the wait;
+	// nil means always.
+	usable   func() bool
 	estimate limit.Estimate
 	leaving  leaving
 	// returned wakes the release of the target when a slot comes back.
@@ -35,7 +40,7 @@
 
 func newTarget(upstream core.Upstream, pool kinds.Pool, clock kernel.Clock, queuePerSlot int) *target {
 	t := &target{
-		upstream: upstream, pool: pool, clock: clock, returned: make(chan struct{}, 1),
+		upstream: upstream, pool: pool, clock: clock, returned: make(chan struct{}, 1), drained: make(chan struct{}),
 		queue: limit.NewQueue[*waiter](queuePerSlot*upstream.Slots, limit.EarliestDeadline),
 	}
 	t.free.Store(int64(upstream.Slots))
@@ -48,6 +53,10 @@
 	if code := t.take(ctx, leg); code != core.CodeOK {
 		return core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: code, Draining: code == core.CodeDraining}
 	}
+	if t.usable != nil && !t.usable() {
+		t.put()
+		return core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeNotOwner}
+	}
 	started := t.clock.Now()
 	result := t.pool.Execute(ctx, *leg)
 	ended := t.clock.Now()
--- a/plugins/peer/websocket/link.go
+++ b/plugins/peer/websocket/link.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"crypto/subtle"
+	"errors"
 	"net/http"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/coder/websocket"
@@ -16,172 +16,242 @@
 // maxBatchBytes bounds the messages that are joined into one frame.
 const maxBatchBytes = 64 << 10
 
-const headerKey = "X-Peer-Key"
+// idlePings is the number of keepalive intervals after which a link that carries nothing is probed all the same.
+const idlePings = 40
+
+// Headers of the request that opens a link.
+const (
+	headerKey = "X-Peer-Key"
+	// headerTo names the VM that is meant, so that a VM at a reused address refuses the link.
+	headerTo = "X-Peer-To"
+)
+
+var (
+	errRetired      = errors.New("the VM was replaced")
+	errStopping     = errors.New("the VM is stopping")
+	errClosedByPeer = errors.New("the VM closed the link")
+	errLinkEnded    = core.Errorf(core.CodeUnreachable, "the link failed")
+)
 
 // link sends messages to one VM. It ends at the first failure; the next send opens a new one.
 type link struct {
-	peers   *peers
-	to      core.VMName
-	address string
-	queue   chan []byte
-	down    atomic.Bool
-	ended   chan struct{}
+	peers *peers
+	to    core.VM
+	queue *queue
+	ended chan struct{}
+	// stop ends the link with a cause.
+	ctx  context.Context
+	stop context.CancelCauseFunc
+	// unconfirmed holds messages that were written after the last answered ping. Only the writer uses it.
+	unconfirmed      []*item
+	unconfirmedBytes int64
+	// covered is the number of unconfirmed messages that the open ping confirms.
+	covered int
+	// unwritten holds messages that were taken from the queue when the link failed.
+	unwritten []*item
+	// flush is closed to end the link after its queue is written.
+	flush chan struct{}
 }
 
 func newLink(ps *peers, to core.VM) *link {
-	return &link{
-		peers: ps, to: to.Name, address: to.PeerAddress,
-		queue: make(chan []byte, ps.settings.QueueLength), ended: make(chan struct{}),
-	}
+	l := &link{peers: ps, to: to, queue: newQueue(ps.settings.QueueLength, ps.settings.QueueBytes), ended: make(chan struct{}), flush: make(chan struct{})}
+	l.ctx, l.stop = context.WithCancelCause(ps.base)
+	return l
 }
 
-func (l *link) isDown() bool { return l.down.Load() }
+// serves reports whether the link leads to the VM as the sender knows it. A sender that knows an older incarnation is
+// out of date.
+func (l *link) serves(to core.VM) bool {
+	if to.Incarnation > l.to.Incarnation && l.to.Incarnation != 0 {
+		return false
+	}
+	return l.to.PeerAddress == to.PeerAddress || to.Incarnation < l.to.Incarnation
+}
 
-func (l *link) enqueue(ctx context.Context, frame []byte) error {
+func (l *link) isDown() bool {
 	select {
-	case l.queue <- frame:
-		l.peers.traffic.messagesSent.Add(1)
-		return nil
+	case <-l.ended:
+		return true
 	default:
+		return false
 	}
-	select {
-	case l.queue <- frame:
-		l.peers.traffic.messagesSent.Add(1)
-		return nil
-	case <-l.ended:
-		return core.Errorf(core.CodeUnreachable, "the link to %s failed", l.to)
-	case <-ctx.Done():
-		return core.Errorf(core.CodeUnreachable, "the link to %s is full", l.to)
+}
+
+func (l *link) enqueue(ctx context.Context, i *item) error {
+	for {
+		switch l.queue.push(i) {
+		case pushed:
+			l.peers.traffic.messagesSent.Add(1)
+			return nil
+		case queueClosed:
+			<-l.ended
+			return errLinkEnded
+		}
+		select {
+		case <-l.queue.space:
+			// One freed batch may have room for more than one sender.
+			notify(l.queue.space)
+		case <-l.ended:
+			return errLinkEnded
+		case <-ctx.Done():
+			return core.Errorf(core.CodeUnreachable, "the link to %s is full", l.to.Name)
+		}
 	}
 }
 
 func (l *link) run() {
-	err := l.serve()
-	l.down.Store(true)
-	close(l.ended)
+	dialed, err := l.serve()
+	l.stop(err)
+	down := kinds.LinkDown{VM: l.to, Written: dialed, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+	down.Undelivered, down.Unconfirmed = messages(append(l.unwritten, l.queue.take()...)), messages(l.unconfirmed)
 	if l.peers.base.Err() == nil {
-		l.peers.Log.Warn("peer_link_down", "peer", string(l.to), "error", err.Error())
+		l.peers.Log.Warn("peer_link_down", "peer", string(l.to.Name), "address", l.to.PeerAddress, "dialed", dialed, "error", err.Error())
+	}
+	if !dialed && l.peers.base.Err() == nil {
+		l.peers.dials.failed(l.peers.Clock.Now(), l.to.PeerAddress)
+	}
+	// Messages sent from now on until the queue is closed are reported by themselves, so that they are not taken for
+	// written ones.
+	l.peers.reportDown(down)
+	late := l.queue.close()
+	close(l.ended)
+	if len(late) > 0 {
+		l.peers.reportDown(kinds.LinkDown{VM: l.to, Undelivered: messages(late)})
 	}
-	l.peers.reportDown(l.to)
 }
 
-func (l *link) serve() error {
-	ctx, cancel := context.WithCancel(l.peers.base)
-	defer cancel()
-	c, err := l.dial(ctx)
+// serve opens the link and writes until it fails. dialed tells whether messages may have reached the VM.
+func (l *link) serve() (dialed bool, err error) {
+	c, err := l.dial()
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer c.CloseNow()
-	read := c.CloseRead(ctx)
-	failed := make(chan error, 1)
-	l.peers.work.Go(func() { failed <- l.keepAlive(read, c) })
+	l.peers.dials.succeeded(l.to.PeerAddress)
+	read := c.CloseRead(l.ctx)
+	pongs := make(chan error, 1)
+	ticker := time.NewTicker(l.peers.settings.keepalive())
+	defer ticker.Stop()
+	pinging, idle := false, 0
 	for {
 		select {
-		case frame := <-l.queue:
-			if err := l.write(ctx, c, l.batch(frame)); err != nil {
-				return err
+		case <-l.queue.ready:
+			if err := l.write(c, l.queue.take()); err != nil {
+				return true, err
 			}
-		case err := <-failed:
-			return err
-		case <-ctx.Done():
-			return ctx.Err()
+		case <-ticker.C:
+			idle++
+			if pinging || (len(l.unconfirmed) == 0 && idle < idlePings) {
+				continue
+			}
+			pinging, idle, l.covered = true, 0, len(l.unconfirmed)
+			l.peers.work.Go(func() { pongs <- l.ping(read, c) })
+		case err := <-pongs:
+			if err != nil {
+				return true, err
+			}
+			pinging = false
+			l.confirm(l.covered)
+		case <-l.flush:
+			return true, l.finish(c)
+		case <-read.Done():
+			if cause := context.Cause(l.ctx); cause != nil {
+				return true, cause
+			}
+			return true, errClosedByPeer
 		}
 	}
 }
 
-func (l *link) dial(ctx context.Context) (*websocket.Conn, error) {
-	timeout, cancel := context.WithTimeout(ctx, 2*l.peers.settings.keepalive())
+// ping fails when the answer does not come in time: the link may be silent although new ones would work.
+func (l *link) ping(ctx context.Context, c *websocket.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, l.peers.settings.keepalive())
 	defer cancel()
-	header := http.Header{headerKey: []string{l.peers.settings.Key}}
-	c, _, err := websocket.Dial(timeout, "ws://"+l.address+"/v1/peer", &websocket.DialOptions{HTTPClient: l.peers.client, HTTPHeader: header})
+	return c.Ping(ctx)
+}
+
+func (l *link) dial() (*websocket.Conn, error) {
+	timeout, cancel := context.WithTimeout(l.ctx, 2*l.peers.settings.keepalive())
+	defer cancel()
+	header := http.Header{headerKey: []string{l.peers.settings.Key}, headerTo: []string{string(l.to.Name)}}
+	c, _, err := websocket.Dial(timeout, "ws://"+l.to.PeerAddress+"/v1/peer", &websocket.DialOptions{HTTPClient: l.peers.client, HTTPHeader: header})
 	if err != nil {
 		return nil, err
 	}
 	l.peers.traffic.linksOpened.Add(1)
 	self := l.peers.State.Load().Members.Self
 	first, err := encodeMessage(hello{Name: self.Name, Incarnation: self.Incarnation, Domain: self.Domain, PeerAddress: self.PeerAddress})
+	if err == nil {
+		err = l.writeFrame(c, first)
+	}
 	if err != nil {
 		c.CloseNow()
 		return nil, err
 	}
-	return c, l.write(ctx, c, first)
+	return c, nil
 }
 
-// batch joins the messages that are waiting into one frame.
-func (l *link) batch(frame []byte) []byte {
-	for len(frame) < maxBatchBytes {
-		select {
-		case more := <-l.queue:
-			frame = append(frame, more...)
-		default:
-			return frame
-		}
+// finish writes what is queued and closes the link in a way that waits until the VM has read everything.
+func (l *link) finish(c *websocket.Conn) error {
+	if err := l.write(c, l.queue.take()); err != nil {
+		return err
 	}
-	return frame
-}
-
-func (l *link) write(ctx context.Context, c *websocket.Conn, frame []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*l.peers.settings.keepalive())
-	defer cancel()
-	l.peers.traffic.sent(len(frame))
-	return c.Write(ctx, websocket.MessageBinary, frame)
+	if err := c.Close(websocket.StatusNormalClosure, ""); err != nil {
+		return err
+	}
+	l.unconfirmed = nil
+	return errStopping
 }
 
-// keepAlive returns when a ping is not answered in time: the link may be silent although new ones would work.
-func (l *link) keepAlive(ctx context.Context, c *websocket.Conn) error {
-	interval := l.peers.settings.keepalive()
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		ping, cancel := context.WithTimeout(ctx, interval)
-		err := c.Ping(ping)
-		cancel()
-		if err != nil {
+// write sends messages, joined into frames.
+func (l *link) write(c *websocket.Conn, items []*item) error {
+	for len(items) > 0 {
+		n, frame := batch(items)
+		l.unconfirmed = append(l.unconfirmed, items[:n]...)
+		l.unconfirmedBytes += int64(len(frame))
+		items = items[n:]
+		if err := l.writeFrame(c, frame); err != nil {
+			l.unwritten = items
 			return err
 		}
 	}
+	l.limitUnconfirmed()
+	return nil
 }
 
-// accept serves a link that another VM opened.
-func (ps *peers) accept(w http.ResponseWriter, r *http.Request) {
-	if subtle.ConstantTimeCompare([]byte(r.Header.Get(headerKey)), []byte(ps.settings.Key)) != 1 {
-		http.Error(w, core.CodeUnauthorized.String(), http.StatusUnauthorized)
-		return
+// batch joins messages from the front into one frame.
+func batch(items []*item) (n int, frame []byte) {
+	frame = items[0].frame
+	for n = 1; n < len(items) && len(frame)+len(items[n].frame) <= maxBatchBytes; n++ {
+		if n == 1 {
+			frame = append(make([]byte, 0, len(frame)+len(items[n].frame)), frame...)
+		}
+		frame = append(frame, items[n].frame...)
 	}
-	c, err := websocket.Accept(w, r, nil)
-	if err != nil {
-		return
+	return n, frame
+}
+
+// confirm forgets messages that an answered ping proves to have arrived.
+func (l *link) confirm(n int) {
+	for _, i := range l.unconfirmed[:n] {
+		l.unconfirmedBytes -= int64(len(i.frame))
 	}
-	ps.work.Add(1)
-	defer ps.work.Done()
-	defer c.CloseNow()
-	c.SetReadLimit(ps.settings.MaxFrameBytes)
-	var from core.VM
-	for {
-		_, frame, err := c.Read(ps.base)
-		if err != nil {
-			return
-		}
-		ps.traffic.received(len(frame))
-		err = ps.decodeFrame(frame, func(h handler, m kinds.Message) {
-			ps.traffic.messagesReceived.Add(1)
-			if first, ok := m.(*hello); ok {
-				from = core.VM{Name: first.Name, Incarnation: first.Incarnation, Domain: first.Domain, PeerAddress: first.PeerAddress}
-				return
-			}
-			if from.Name != "" {
-				h.handle(from, m)
-			}
-		})
-		if err != nil {
-			ps.Log.Warn("peer_frame_refused", "peer", string(from.Name), "error", err.Error())
-			return
-		}
+	l.unconfirmed = append([]*item(nil), l.unconfirmed[n:]...)
+	l.covered = 0
+}
+
+// limitUnconfirmed forgets the oldest written messages beyond the bound of the queue.
+func (l *link) limitUnconfirmed() {
+	for l.unconfirmedBytes > l.queue.maxBytes || int64(len(l.unconfirmed)) > l.queue.maxLength {
+		l.unconfirmedBytes -= int64(len(l.unconfirmed[0].frame))
+		l.unconfirmed = l.unconfirmed[1:]
+		l.covered = max(l.covered-1, 0)
 	}
 }
+
+func (l *link) writeFrame(c *websocket.Conn, frame []byte) error {
+	ctx, cancel := context.WithTimeout(l.ctx, 2*l.peers.settings.keepalive())
+	defer cancel()
+	l.peers.traffic.sent(len(frame))
+	return c.Write(ctx, websocket.MessageBinary, frame)
+}
--- a/plugins/peer/websocket/websocket.go
+++ b/plugins/peer/websocket/websocket.go
@@ -25,7 +25,11 @@
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.PeerKind, Name: "websocket",
 		Settings: func() any {
-			return &Settings{MaxFrameBytes: defaultMaxFrameBytes, QueueLength: defaultQueueLength, KeepaliveMS: defaultKeepaliveMS}
+			return &Settings{
+				MaxFrameBytes: defaultMaxFrameBytes, QueueLength: defaultQueueLength, QueueBytes: defaultQueueBytes,
+				MaxLinks: defaultMaxLinks, KeepaliveMS: defaultKeepaliveMS, IdleTimeoutMS: defaultIdleTimeoutMS,
+				BackoffMS: defaultBackoffMS, MaxBackoffMS: defaultMaxBackoffMS,
+			}
 		},
 		Options: func(s any) fx.Option {
 			return fx.Provide(func(lc fx.Lifecycle, p params) provided {
@@ -39,7 +43,12 @@
 const (
 	defaultMaxFrameBytes = 8 << 20
 	defaultQueueLength   = 4096
+	defaultQueueBytes    = 16 << 20
+	defaultMaxLinks      = 16_384
 	defaultKeepaliveMS   = 500
+	defaultIdleTimeoutMS = 60_000
+	defaultBackoffMS     = 100
+	defaultMaxBackoffMS  = 2000
 	headerTimeout        = 5 * time.Second
 )
 
@@ -55,8 +64,21 @@
 	MaxFrameBytes int64 `json:"max_frame_bytes" validate:"gte=1024"`
 	// QueueLength bounds the messages waiting on one link. Default 4096.
 	QueueLength int `json:"queue_length" validate:"gte=1"`
-	// KeepaliveMS is the time between pings; a link whose ping is not answered within it is closed. Default 500.
+	// QueueBytes bounds the bytes of the messages waiting on one link, and of those written but not confirmed by a
+	// ping. Default 16777216.
+	QueueBytes int64 `json:"queue_bytes" validate:"gte=1024"`
+	// MaxLinks bounds the links that other VMs open to this one. Default 16384.
+	MaxLinks int64 `json:"max_links" validate:"gte=1"`
+	// KeepaliveMS is the time between pings while messages are unconfirmed; a link whose ping is not answered within it
+	// is closed. Default 500.
 	KeepaliveMS int64 `json:"keepalive_ms" validate:"gte=10,lte=60000"`
+	// IdleTimeoutMS is the silence after which a link that another VM opened is closed, in milliseconds. Default 60000.
+	IdleTimeoutMS int64 `json:"idle_timeout_ms" validate:"gte=10,lte=3600000"`
+	// BackoffMS is the least time between two dials of an address that failed, in milliseconds. It doubles up to
+	// MaxBackoffMS, and half of it is random. Default 100.
+	BackoffMS int64 `json:"backoff_ms" validate:"gte=1,lte=60000"`
+	// MaxBackoffMS bounds the time between two dials, in milliseconds. Default 2000.
+	MaxBackoffMS int64 `json:"max_backoff_ms" validate:"gte=1,lte=60000"`
 	// Key authenticates VMs to each other; every VM has the same. Empty turns authentication off.
 	Key string `json:"key"`
 }
@@ -68,6 +90,8 @@
 	Identity kernel.Identity
 	State    *kernel.State
 	Log      *slog.Logger
+	Clock    kernel.Clock
+	Random   *kernel.Random
 }
 
 type provided struct {
@@ -87,19 +111,24 @@
 	traffic  traffic
 	client   *http.Client
 	handlers map[string]handler
-	linkDown []func(core.VMName)
+	linkDown []func(kinds.LinkDown)
 	// links is replaced as a whole; senders load it without a lock.
 	links   atomic.Pointer[map[core.VMName]*link]
 	writers sync.Mutex
-	server  *http.Server
-	base    context.Context
-	cancel  context.CancelFunc
-	work    sync.WaitGroup
+	dials   backoffs
+	inbound atomic.Int64
+	// stopping is guarded by writers.
+	stopping bool
+	server   *http.Server
+	base     context.Context
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
 }
 
 func newPeers(lc fx.Lifecycle, p params, settings *Settings) *peers {
 	ps := &peers{params: p, settings: settings, handlers: make(map[string]handler), client: newClient(settings.SourceAddress)}
 	ps.links.Store(&map[core.VMName]*link{})
+	ps.dials.init(settings, p.Random.Generator())
 	ps.base, ps.cancel = context.WithCancel(context.Background())
 	ps.Handle(hello{}, func(core.VM, kinds.Message) {})
 	lc.Append(fx.Hook{OnStart: ps.start, OnStop: ps.stop})
@@ -132,7 +161,21 @@
 	return nil
 }
 
-func (ps *peers) stop(context.Context) error {
+// stop writes what is queued, closes the links and ends the listener, bounded by ctx.
+func (ps *peers) stop(ctx context.Context) error {
+	ps.writers.Lock()
+	ps.stopping = true
+	links := *ps.links.Load()
+	ps.writers.Unlock()
+	for _, l := range links {
+		close(l.flush)
+	}
+	for _, l := range links {
+		select {
+		case <-l.ended:
+		case <-ctx.Done():
+		}
+	}
 	ps.cancel()
 	err := ps.server.Close()
 	ps.work.Wait()
@@ -145,7 +188,7 @@
 }
 
 // OnLinkDown implements kinds.Peers.
-func (ps *peers) OnLinkDown(f func(core.VMName)) { ps.linkDown = append(ps.linkDown, f) }
+func (ps *peers) OnLinkDown(f func(kinds.LinkDown)) { ps.linkDown = append(ps.linkDown, f) }
 
 // Send implements kinds.Peers.
 func (ps *peers) Send(ctx context.Context, to core.VM, m kinds.Message) error {
@@ -153,36 +196,52 @@
 	if err != nil {
 		return err
 	}
-	l := (*ps.links.Load())[to.Name]
-	if l == nil || l.address != to.PeerAddress || l.isDown() {
-		if l, err = ps.openLink(to); err != nil {
+	if int64(len(frame)) > ps.settings.MaxFrameBytes {
+		return core.Errorf(core.CodeBodyTooLarge, "message %s of %d bytes", m.MessageName(), len(frame))
+	}
+	for {
+		l := (*ps.links.Load())[to.Name]
+		if l == nil || !l.serves(to) || l.isDown() {
+			if l, err = ps.openLink(to); err != nil {
+				return err
+			}
+		}
+		err := l.enqueue(ctx, &item{message: m, frame: frame})
+		// The link ended between the look-up and the send: the next one may work.
+		if err != errLinkEnded || ctx.Err() != nil {
 			return err
 		}
 	}
-	return l.enqueue(ctx, frame)
 }
 
 // openLink returns the link to a VM, and starts one if there is none that works.
 func (ps *peers) openLink(to core.VM) (*link, error) {
-	if ps.base.Err() != nil {
-		return nil, core.Errorf(core.CodeUnreachable, "the VM is stopping")
-	}
 	ps.writers.Lock()
 	defer ps.writers.Unlock()
+	if ps.stopping {
+		return nil, core.Errorf(core.CodeUnreachable, "the VM is stopping")
+	}
 	current := *ps.links.Load()
-	if l := current[to.Name]; l != nil && l.address == to.PeerAddress && !l.isDown() {
-		return l, nil
+	old := current[to.Name]
+	if old != nil && old.serves(to) && !old.isDown() {
+		return old, nil
+	}
+	if !ps.dials.allow(ps.Clock.Now(), to.PeerAddress) {
+		return nil, core.Errorf(core.CodeUnreachable, "the last dial to %s failed", to.Name)
 	}
 	l := newLink(ps, to)
 	next := maps.Clone(current)
 	next[to.Name] = l
 	ps.links.Store(&next)
+	if old != nil {
+		old.stop(errRetired)
+	}
 	ps.work.Go(l.run)
 	return l, nil
 }
 
-func (ps *peers) reportDown(vm core.VMName) {
+func (ps *peers) reportDown(down kinds.LinkDown) {
 	for _, f := range ps.linkDown {
-		f(vm)
+		f(down)
 	}
 }
