Add heartbeat plug-in for membership and ownership

The static plug-in never changed the member list, so a VM that died or left took its upstreams with it. The new plug-in drives coord/ownership with the peers, the platform's VM list and the executor. The view is published before an upstream is released, so that the executor takes no new work for it. A planned stop tells the members, hands over every upstream, waits until the members answered the farewell, and lingers for sub-requests under way.

A hand-over shorter than one tick left the leaving VM naming itself as the owner, and queries failed with not_owner after 1 s; candidates are now computed when the leave begins.

--- a/coord/membership/contact.go
+++ b/coord/membership/contact.go
@@ -109,13 +109,23 @@
 
 // Digest returns a hash of the names and incarnations of Known. Two VMs with the same digest know the same members.
 func (t *Table) Digest(now time.Time) uint64 {
-	var digest uint64
-	for _, vm := range t.Known(now) {
-		digest ^= hash(vm)
+	digest := hash(t.self)
+	for _, m := range t.members {
+		if !m.heard.IsZero() && t.stateOf(now, m) != core.VMGone {
+			digest ^= hash(m.vm)
+		}
 	}
 	return digest
 }
 
+// RecentDigest returns a digest of the time of the last tick or later. It is computed once for each tick.
+func (t *Table) RecentDigest(now time.Time) uint64 {
+	if t.digestAt.IsZero() || t.digestAt.Before(t.lastTick) {
+		t.digest, t.digestAt = t.Digest(now), now
+	}
+	return t.digest
+}
+
 func hash(vm core.VM) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/coord/membership/table.go
+++ b/coord/membership/table.go
@@ -67,6 +67,10 @@
 	lastTick time.Time
 	// listedAt is the time of the last platform list, zero before the first.
 	listedAt time.Time
+	// introduced is set once the platform's list names the VM itself.
+	introduced bool
+	digest     uint64
+	digestAt   time.Time
 }
 
 // New returns a table that knows only the VM itself.
@@ -90,8 +94,19 @@
 	}
 }
 
-// Introduced reports whether the table knows enough to act: the platform's list or at least one member.
-func (t *Table) Introduced() bool { return !t.listedAt.IsZero() || len(t.members) > 0 }
+// Introduced reports whether the table knows enough to act: another member of the own failure domain, or a list that
+// names the VM itself. A list without it lags, and may lack others as well.
+func (t *Table) Introduced() bool {
+	if t.introduced {
+		return true
+	}
+	for _, m := range t.members {
+		if m.vm.Domain == t.self.Domain {
+			return true
+		}
+	}
+	return false
+}
 
 // Hear records a direct message in which a VM states its name, incarnation, address and whether it is leaving. It
 // returns false when the message is of a lower incarnation and must be ignored.
@@ -150,6 +165,7 @@
 	}
 	for _, vm := range vms {
 		if vm.Name == t.self.Name {
+			t.introduced = true
 			continue
 		}
 		m := t.members[vm.Name]
--- a/coord/ownership/agent.go
+++ b/coord/ownership/agent.go
@@ -128,7 +128,7 @@
 
 func (g *Agent) heartbeat(now time.Time) Heartbeat {
 	return Heartbeat{
-		From: g.table.Self(), Sent: int64(now.Sub(g.base)), Digest: g.table.Digest(now), Revision: g.revision, Held: g.machine.Version(),
+		From: g.table.Self(), Sent: int64(now.Sub(g.base)), Digest: g.table.RecentDigest(now), Revision: g.revision, Held: g.machine.Version(),
 	}
 }
 
@@ -199,7 +199,7 @@
 func (g *Agent) onHeartbeat(now time.Time, m Heartbeat) Actions {
 	var a Actions
 	ack := HeartbeatAck{From: g.table.Self(), To: m.From.Incarnation, Sent: m.Sent, Revision: g.revision}
-	if own := g.table.Digest(now); own != m.Digest && g.listDue(now, m.From.Name, own, m.Digest) {
+	if own := g.table.RecentDigest(now); own != m.Digest && g.listDue(now, m.From.Name, own, m.Digest) {
 		ack.Known = g.table.Known(now)
 	}
 	ack.WantHoldings = m.From.Domain == g.table.Self().Domain && g.machine.NeedsHoldings(m.From, m.Held)
@@ -228,7 +228,7 @@
 	if m.WantHoldings {
 		a.send(m.From, g.machine.Holdings())
 	}
-	return a.join(g.machine.Tick(now))
+	return a.join(g.machine.Contacted(now))
 }
 
 // Leave tells all members that this VM is leaving and begins to hand over what it holds.
@@ -238,7 +238,9 @@
 	for _, vm := range g.reachable(now) {
 		a.send(vm, g.heartbeat(now))
 	}
-	return a.join(g.machine.Leave(now))
+	a = a.join(g.machine.Leave(now))
+	// The candidates without this VM are hints for sub-requests that still come here.
+	return a.join(g.machine.Tick(now))
 }
 
 func (g *Agent) reachable(now time.Time) []core.VM {
--- a/coord/ownership/agent_test.go
+++ b/coord/ownership/agent_test.go
@@ -1,9 +1,7 @@
 package ownership_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,22 +11,9 @@
 
 	"gooseberrylane.example/coord/ownership"
 	"gooseberrylane.example/core"
+	_ "gooseberrylane.example/test/seed"
 )
 
-// defaultSeed is used unless -rapid.seed names another one.
-const defaultSeed = "20261204"
-
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set(defaultSeed); err != nil {
-			panic(err)
-		}
-	}
-	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
-
 const quiet = 60 * time.Second
 
 func exactlyOneHolder(x *exchange) string {
@@ -119,6 +104,9 @@
 	x.moves = 0
 	e.left = true
 	x.perform(e, e.agent.Leave(x.now))
+	for id, owner := range e.agent.Machine().Ownership(x.now).Owner {
+		c.Check(owner == "e", qt.Equals, e.agent.Machine().Holds(x.now, id), qt.Commentf("a wrong hint for %s during the leave", id))
+	}
 	x.runFor(quiet)
 	c.Assert(e.dead, qt.IsTrue)
 	c.Assert(exactlyOneHolder(x), qt.Equals, "")
--- a/coord/ownership/machine.go
+++ b/coord/ownership/machine.go
@@ -143,6 +143,12 @@
 // Idle reports whether this VM holds and releases nothing.
 func (m *Machine) Idle() bool { return len(m.held) == 0 && len(m.releasing) == 0 }
 
+// Active reports whether this VM may use what it holds; false while it is isolated.
+func (m *Machine) Active(now time.Time) bool { return m.hold.Valid(now) }
+
+// Settled reports whether this VM is in contact with its failure domain and has no open claim.
+func (m *Machine) Settled(now time.Time) bool { return m.mayClaim(now) && len(m.claims) == 0 }
+
 // Tick handles the passing of time and changes of the member table.
 func (m *Machine) Tick(now time.Time) Actions {
 	var a Actions
@@ -171,6 +177,13 @@
 	return a
 }
 
+// Contacted handles an acknowledged heartbeat.
+func (m *Machine) Contacted(now time.Time) Actions {
+	var a Actions
+	m.extendHold(now, &a)
+	return a
+}
+
 // mayClaim reports whether claims are allowed: an isolated VM makes none.
 func (m *Machine) mayClaim(now time.Time) bool {
 	return !m.leaving && m.table.Introduced() && m.hold.Valid(now)
--- /dev/null
+++ b/plugins/membership/heartbeat/publish.go
@@ -0,0 +1,164 @@
+package heartbeat
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"gooseberrylane.example/coord/ownership"
+	"gooseberrylane.example/core"
+)
+
+// publish stores the members and the ownership in the view if they may have changed.
+func (s *service) publish(ownershipChanged bool) {
+	now := s.Clock.Now()
+	s.noteHold(now)
+	members := s.agent.Table().Members(now)
+	membersChanged := s.noteStates(members)
+	settles := !s.settled && s.config != nil && s.config.Revision > 0 &&
+		(s.agent.Machine().Settled(now) || now.Sub(s.started) >= milliseconds(s.settings.ReadyAfterMS))
+	s.settled = s.settled || settles
+	ready := s.settled && !s.leaving
+	if !membersChanged && !ownershipChanged && s.State.Load().Ready == ready {
+		return
+	}
+	owned := s.agent.Machine().Ownership(now)
+	s.State.Update(func(v *core.View) {
+		v.Members, v.Ownership, v.Ready = members, owned, ready
+	})
+}
+
+// noteHold logs when the ownership is suspended or resumed, and how many upstreams are held.
+func (s *service) noteHold(now time.Time) {
+	machine := s.agent.Machine()
+	if active := machine.Active(now); active != s.active {
+		s.active = active
+		s.Log.Warn("ownership_active_changed", "active", active)
+	}
+	if held := len(machine.Held()); held != s.held {
+		s.held = held
+		s.Log.Info("held_upstreams_changed", "held", held)
+	}
+}
+
+// noteStates logs what changed in the member list and reports whether anything did.
+func (s *service) noteStates(members *core.Members) bool {
+	changed := len(members.All) != len(s.states)
+	next := make(map[core.VMName]core.VM, len(members.All))
+	for _, vm := range members.All {
+		next[vm.Name] = vm
+		if old, known := s.states[vm.Name]; !known || old != vm {
+			changed = true
+			s.Log.Info("member_changed", "member", string(vm.Name), "state", vm.State.String(), "member_incarnation", uint64(vm.Incarnation),
+				"address", vm.PeerAddress)
+		}
+	}
+	s.states = next
+	return changed
+}
+
+// followList reads the platform's VM list again and again.
+func (s *service) followList() {
+	random := s.Random.Generator()
+	for {
+		wait := s.readList()
+		// Half of the wait is random, so that VMs that start together do not read together.
+		timer := time.NewTimer(wait/2 + time.Duration(random.Int64N(int64(wait/2)+1)))
+		select {
+		case <-timer.C:
+		case <-s.base.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// readList reads the list once and returns the time until the next read.
+func (s *service) readList() time.Duration {
+	listed, err := s.Platform.VMs(s.base)
+	if err != nil {
+		s.Log.Debug("vm_list_unavailable", "error", err.Error())
+		// The client of the platform spaces out calls that fail.
+		return min(s.settings.period(), milliseconds(s.settings.ListMS))
+	}
+	vms := make([]core.VM, len(listed))
+	for i, entry := range listed {
+		vms[i] = core.VM{Name: entry.Name, Domain: entry.Domain, PeerAddress: entry.PeerAddress}
+		if entry.Leaving {
+			vms[i].State = core.VMLeaving
+		}
+	}
+	s.post(s.base, func(now time.Time) ownership.Actions { return s.agent.List(now, vms) })
+	return milliseconds(s.settings.ListMS) + time.Duration(len(listed))*listPerMember
+}
+
+// Leave implements kinds.Membership. It ends when another VM holds each upstream, at the latest with ctx or after the
+// leave timeout.
+func (s *service) Leave(ctx context.Context) error {
+	var err error
+	s.leave.Do(func() { err = s.handOver(ctx) })
+	return err
+}
+
+func (s *service) handOver(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, milliseconds(s.settings.LeaveTimeoutMS))
+	defer cancel()
+	if !s.post(limited, func(now time.Time) ownership.Actions {
+		s.leaving = true
+		return s.agent.Leave(now)
+	}) {
+		return limited.Err()
+	}
+	err := s.await(limited, func(time.Time) bool { return s.agent.Machine().Idle() })
+	if err != nil {
+		s.Log.Warn("hand_over_incomplete", "error", err.Error())
+		s.post(ctx, func(time.Time) ownership.Actions { return s.agent.Machine().GiveUp() })
+	}
+	s.post(ctx, s.agent.Farewell)
+	farewell, cancelFarewell := context.WithTimeout(ctx, s.settings.period())
+	defer cancelFarewell()
+	if s.await(farewell, s.agent.FarewellDone) != nil {
+		s.Log.Info("farewell_unanswered")
+	}
+	s.linger(ctx)
+	return errors.Join(err, ctx.Err())
+}
+
+// await asks the loop for a condition until it holds.
+func (s *service) await(ctx context.Context, condition func(now time.Time) bool) error {
+	for {
+		answer := make(chan bool, 1)
+		asked := s.post(ctx, func(now time.Time) ownership.Actions {
+			answer <- condition(now)
+			return ownership.Actions{}
+		})
+		if !asked {
+			return ctx.Err()
+		}
+		select {
+		case ok := <-answer:
+			if ok {
+				return nil
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		timer := time.NewTimer(s.settings.period() / ticksPerPeriod)
+		select {
+		case <-s.progress:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// linger waits for sub-requests of VMs that loaded their view before the farewell.
+func (s *service) linger(ctx context.Context) {
+	timer := time.NewTimer(milliseconds(s.settings.LingerMS))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/plugins/peer/websocket/accept.go
+++ b/plugins/peer/websocket/accept.go
@@ -60,12 +60,12 @@
 }
 
 func (ps *peers) handleFrame(frame []byte, from *core.VM) error {
+	// A VM that sends is reachable again, for example after a pause.
+	ps.dials.succeeded(from.PeerAddress)
 	return ps.decodeFrame(frame, func(h handler, m kinds.Message) {
 		ps.traffic.messagesReceived.Add(1)
 		if first, ok := m.(*hello); ok {
 			*from = core.VM{Name: first.Name, Incarnation: first.Incarnation, Domain: first.Domain, PeerAddress: first.PeerAddress}
-			// A VM that opens a link is reachable again.
-			ps.dials.succeeded(from.PeerAddress)
 			return
 		}
 		if from.Name != "" {
--- a/plugins/peer/websocket/backoff.go
+++ b/plugins/peer/websocket/backoff.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,8 @@
 	first, most time.Duration
 	random      *rand.Rand
 	byAddress   map[string]backoff
+	// failing is the length of byAddress, for a look without the lock.
+	failing atomic.Int64
 }
 
 func (b *backoffs) init(settings *Settings, random *rand.Rand) {
@@ -48,10 +51,16 @@
 	// Half of the time is random, so that the VMs of a domain do not dial a VM that returns all at once.
 	pause := wait/2 + time.Duration(b.random.Int64N(int64(wait/2)+1))
 	b.byAddress[address] = backoff{wait: wait, retryAt: now.Add(pause)}
+	b.failing.Store(int64(len(b.byAddress)))
 }
 
+// succeeded ends the back-off of an address from which the VM was heard. It is called for each frame.
 func (b *backoffs) succeeded(address string) {
+	if b.failing.Load() == 0 {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.byAddress, address)
+	b.failing.Store(int64(len(b.byAddress)))
 }
--- a/plugins/peer/websocket/link.go
+++ b/plugins/peer/websocket/link.go
@@ -60,11 +60,9 @@
 }
 
 // serves reports whether the link leads to the VM as the sender knows it. A sender that knows an older incarnation is
-// out of date.
+// out of date. A VM that has a new incarnation at the same address keeps the link: a connection does not outlive its
+// process, so the VM only woke from a pause.
 func (l *link) serves(to core.VM) bool {
-	if to.Incarnation > l.to.Incarnation && l.to.Incarnation != 0 {
-		return false
-	}
 	return l.to.PeerAddress == to.PeerAddress || to.Incarnation < l.to.Incarnation
 }
 
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -12,6 +12,7 @@
 	_ "gooseberrylane.example/plugins/frontend/operator"
 	_ "gooseberrylane.example/plugins/hedging/learned"
 	_ "gooseberrylane.example/plugins/hedging/none"
+	_ "gooseberrylane.example/plugins/membership/heartbeat"
 	_ "gooseberrylane.example/plugins/membership/static"
 	_ "gooseberrylane.example/plugins/metrics/expvar"
 	_ "gooseberrylane.example/plugins/peer/websocket"
--- /dev/null
+++ b/test/membership/cluster_test.go
@@ -0,0 +1,172 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/plugins/frontend/api"
+	"gooseberrylane.example/standins/platform"
+	"gooseberrylane.example/standins/upstream"
+	"gooseberrylane.example/test/harness"
+)
+
+func TestMain(m *testing.M) { harness.Main(m) }
+
+const operatorPort = "7103"
+
+// timing shortens the rules of the design page, in the same proportions.
+var timing = map[string]any{
+	"period_ms": 250, "suspect_after_ms": 1000, "hold_for_ms": 1000, "fence_after_ms": 2500, "list_ms": 200, "forget_after_ms": 10_000,
+}
+
+// withHeartbeats chooses the heartbeat plug-in, with the VMs of the cluster known at the start, and a page for status.
+func withHeartbeats(vm *harness.VM, plugins map[string]any) {
+	static := plugins["membership"].([]any)[0].(map[string]any)["settings"].(map[string]any)
+	settings := map[string]any{"members": static["members"]}
+	for key, value := range timing {
+		settings[key] = value
+	}
+	plugins["membership"] = harness.Plugin("heartbeat", settings)
+	plugins["front_end"] = append(plugins["front_end"].([]any), harness.Plugin("operator", map[string]any{"listen": operatorAddress(vm)})...)
+}
+
+func operatorAddress(vm *harness.VM) string {
+	host, _, err := net.SplitHostPort(vm.Caller)
+	if err != nil {
+		panic(err)
+	}
+	return net.JoinHostPort(host, operatorPort)
+}
+
+// start starts VMs in one failure domain after the other and waits until each upstream has one owner.
+func start(c *qt.C, n int, change harness.Plugins) *harness.Cluster {
+	if change == nil {
+		change = withHeartbeats
+	}
+	cl := harness.Start(c, "directorate", n, change)
+	c.Cleanup(func() {
+		for _, vm := range cl.VMs {
+			if c.Failed() {
+				c.Logf("%s", vm.Log())
+			}
+		}
+	})
+	list(cl, cl.VMs)
+	cl.WaitFor("one owner for each upstream", func() bool { return owners(cl, cl.VMs) != nil })
+	return cl
+}
+
+// list makes the platform list the given VMs.
+func list(cl *harness.Cluster, vms []*harness.VM) {
+	listed := make([]platform.VM, len(vms))
+	for i, vm := range vms {
+		listed[i] = platform.VM{Name: vm.Name, Domain: vm.Domain, PeerAddress: vm.Peer}
+	}
+	cl.Platform.SetVMs(listed)
+}
+
+func status(vm *harness.VM) (*api.Status, error) {
+	response, err := http.Get("http://" + operatorAddress(vm) + "/v1/status")
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	body := &api.Status{}
+	return body, json.NewDecoder(response.Body).Decode(body)
+}
+
+// owners returns the VM that holds each upstream, or nil unless each is held by exactly one of the VMs.
+func owners(cl *harness.Cluster, vms []*harness.VM) map[string]string {
+	found := make(map[string]string)
+	held := 0
+	for _, vm := range vms {
+		s, err := status(vm)
+		if err != nil {
+			return nil
+		}
+		for _, u := range s.Upstreams {
+			if u.Held {
+				held++
+				found[string(u.ID)] = vm.Name
+			}
+		}
+	}
+	if held != len(cl.Upstreams) || len(found) != held {
+		return nil
+	}
+	return found
+}
+
+// load asks queries from several callers until it is stopped.
+type load struct {
+	stop    chan struct{}
+	callers sync.WaitGroup
+	asked   atomic.Uint64
+	bad     atomic.Pointer[string]
+}
+
+// startLoad asks the VMs in turn. Every shard must be covered by every answer.
+func startLoad(vms []*harness.VM, callers int) *load {
+	l := &load{stop: make(chan struct{})}
+	for k := range callers {
+		l.callers.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				l.ask(vms[(i+k)%len(vms)], fmt.Sprintf("load-%d-%d", k, i))
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) ask(vm *harness.VM, id string) {
+	answer, err := harness.Ask(context.Background(), vm, query(id))
+	text := ""
+	switch {
+	case err != nil:
+		text = err.Error()
+	case answer.Name != "ok":
+		text = fmt.Sprintf("%s asked at %s: %s %s %v", id, vm.Name, answer.Name, answer.Detail, answer.Missing)
+	}
+	if text != "" {
+		l.bad.CompareAndSwap(nil, &text)
+	}
+	l.asked.Add(1)
+}
+
+// finish stops the load and returns the first answer that did not cover everything, or "".
+func (l *load) finish() string {
+	close(l.stop)
+	l.callers.Wait()
+	if bad := l.bad.Load(); bad != nil {
+		return *bad
+	}
+	return ""
+}
+
+func query(id string) map[string]any {
+	return map[string]any{"service": "harvest-logs", "request_id": id, "idempotent": true, "timeout_ms": 4000}
+}
+
+func total(cl *harness.Cluster, count func(upstream.Counts) uint64) uint64 {
+	var sum uint64
+	for _, s := range cl.Upstreams {
+		sum += count(s.Counts())
+	}
+	return sum
+}
+
+func overSlots(c upstream.Counts) uint64 { return c.OverSlots }
+func doubled(c upstream.Counts) uint64   { return c.DoubledRequests }
--- /dev/null
+++ b/test/membership/membership_test.go
@@ -0,0 +1,125 @@
+// Package membership tests membership and the ownership of upstreams with daemons as processes.
+package membership
+
+import (
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/test/harness"
+)
+
+// others returns the VMs without one.
+func others(cl *harness.Cluster, without *harness.VM) []*harness.VM {
+	var vms []*harness.VM
+	for _, vm := range cl.VMs {
+		if vm != without {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// TestKilledOwnerIsReplaced guards against upstreams that stay without an owner after kill -9.
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	cl := start(c, 6, nil)
+	killed := cl.VMs[0]
+	c.Assert(killed.Signal(syscall.SIGKILL), qt.IsNil)
+	killed.WaitExit()
+	rest := others(cl, killed)
+	cl.WaitFor("successors", func() bool { return owners(cl, rest) != nil })
+	c.Assert(cl.MustAsk(rest[0], query("after-kill")).Name, qt.Equals, "ok")
+	c.Check(total(cl, overSlots), qt.Equals, uint64(0))
+}
+
+// TestPausedOwnerSendsNothingOnWaking guards against a VM that is stopped beyond the fence and, on waking, sends to
+// upstreams that others own by then.
+func TestPausedOwnerSendsNothingOnWaking(t *testing.T) {
+	c := qt.New(t)
+	// Three VMs in each failure domain: a single VM beside a silent one cannot tell which of the two is cut off.
+	cl := start(c, 9, nil)
+	paused := cl.VMs[0]
+	before, err := status(paused)
+	c.Assert(err, qt.IsNil)
+	c.Assert(paused.Signal(syscall.SIGSTOP), qt.IsNil)
+	rest := others(cl, paused)
+	cl.WaitFor("successors", func() bool { return owners(cl, rest) != nil })
+	for _, vm := range rest {
+		cl.WaitFor(vm.Name+" sees the silence", func() bool { return stateOf(vm, paused) == "gone" })
+	}
+	l := startLoad(rest, 4)
+	c.Assert(paused.Signal(syscall.SIGCONT), qt.IsNil)
+	cl.WaitFor("a new incarnation", func() bool {
+		after, err := status(paused)
+		return err == nil && after.Incarnation > before.Incarnation
+	})
+	cl.WaitFor("one owner for each upstream", func() bool { return owners(cl, cl.VMs) != nil })
+	c.Check(l.finish(), qt.Equals, "")
+	c.Check(total(cl, overSlots), qt.Equals, uint64(0), qt.Commentf("two VMs used an upstream at the same time"))
+	c.Check(total(cl, doubled), qt.Equals, uint64(0))
+}
+
+// TestPlannedLeaveFailsNoQuery guards against a planned stop that cuts off queries or makes them fail.
+func TestPlannedLeaveFailsNoQuery(t *testing.T) {
+	c := qt.New(t)
+	cl := start(c, 6, nil)
+	leaving := cl.VMs[0]
+	rest := others(cl, leaving)
+	l := startLoad(rest, 4)
+	c.Assert(leaving.Signal(syscall.SIGTERM), qt.IsNil)
+	c.Check(leaving.WaitExit(), qt.Equals, 0)
+	cl.WaitFor("successors", func() bool { return owners(cl, rest) != nil })
+	asked := l.asked.Load()
+	cl.WaitFor("queries after the leave", func() bool { return l.asked.Load() > asked+8 })
+	c.Check(l.finish(), qt.Equals, "")
+	c.Check(total(cl, overSlots), qt.Equals, uint64(0))
+	c.Logf("%d queries", l.asked.Load())
+}
+
+// TestDifferentListsEndWithOneOwner guards against two VMs that do not know each other and keep the same upstream.
+func TestDifferentListsEndWithOneOwner(t *testing.T) {
+	c := qt.New(t)
+	// Each VM is told of itself only; the platform's list introduces them later.
+	cl := harness.Start(c, "directorate", 6, func(vm *harness.VM, plugins map[string]any) {
+		withHeartbeats(vm, plugins)
+		settings := plugins["membership"].([]any)[0].(map[string]any)["settings"].(map[string]any)
+		settings["members"] = []any{map[string]any{"name": vm.Name, "failure_domain": vm.Domain, "peer_address": vm.Peer}}
+	})
+	cl.WaitFor("two owners of the same upstream", func() bool {
+		first, err := status(cl.VMs[0])
+		return err == nil && len(first.Members) == 1 && heldBy(cl.VMs[0]) > 0 && heldBy(cl.VMs[0]) == heldBy(cl.VMs[3])
+	})
+	list(cl, cl.VMs)
+	cl.WaitFor("one owner for each upstream", func() bool { return owners(cl, cl.VMs) != nil })
+	c.Assert(cl.MustAsk(cl.VMs[0], query("one-owner")).Name, qt.Equals, "ok")
+}
+
+// stateOf returns the state of a member as another VM sees it.
+func stateOf(at, member *harness.VM) string {
+	s, err := status(at)
+	if err != nil {
+		return ""
+	}
+	for _, m := range s.Members {
+		if string(m.Name) == member.Name {
+			return m.State
+		}
+	}
+	return ""
+}
+
+func heldBy(vm *harness.VM) int {
+	s, err := status(vm)
+	if err != nil {
+		return 0
+	}
+	held := 0
+	for _, u := range s.Upstreams {
+		if u.Held {
+			held++
+		}
+	}
+	return held
+}
