Measure slopes for capacity work

CPU, allocations, memory, peer traffic and platform calls at several numbers of daemons, upstreams, shards and connections, each with a fitted line and its spread, and the CPU time of a sub-request against a bare net/http fan-out.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -241,3 +241,19 @@
 	_, err = policies["current"].choices(pluginSet{})
 	c.Check(err, qt.ErrorMatches, "none of the plug-ins.*")
 }
+
+// TestFitLine guards against slopes that are off, and against a line through points of one size.
+func TestFitLine(t *testing.T) {
+	c := qt.New(t)
+	f, ok := fitLine([]float64{1, 2, 3, 4}, []float64{5, 7, 9, 11})
+	c.Assert(ok, qt.IsTrue)
+	c.Check(f, qt.Equals, fit{Slope: 2, Intercept: 3})
+	f, ok = fitLine([]float64{0, 1, 2}, []float64{0, 3, 0})
+	c.Assert(ok, qt.IsTrue)
+	c.Check(f.Slope, qt.Equals, 0.0)
+	// The residuals are -1, 2 and -1, with one degree of freedom, over a variation of x of 2.
+	c.Check(math.Abs(f.Residual-math.Sqrt(6)) < 1e-9, qt.IsTrue)
+	c.Check(math.Abs(f.SlopeError-math.Sqrt(3)) < 1e-9, qt.IsTrue)
+	_, ok = fitLine([]float64{2, 2}, []float64{1, 3})
+	c.Check(ok, qt.IsFalse)
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -27,6 +27,13 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	if len(args) == 3 && args[0] == bareCommand {
+		if err := runBare(args[1], args[2]); err != nil {
+			fmt.Fprintln(os.Stderr, "bench:", err)
+			return exitFailed
+		}
+		return 0
+	}
 	o, err := parseOptions(args)
 	if errors.Is(err, flag.ErrHelp) {
 		return 0
--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -1,5 +1,224 @@
 package main
 
-import "context"
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"time"
 
-func runSlopes(context.Context, *options, *starter, *binaries) error { return nil }
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/standins/deployment"
+)
+
+// Sizes and times of the measurements.
+const (
+	slopeIdle = 4 * time.Second
+	slopeLoad = 5 * time.Second
+	// slopeSubRequests is the rate of sub-requests that each point offers, so that points differ in one thing only.
+	slopeSubRequests = 1200
+	slopeVMs         = 6
+	slopeReplicas    = 2
+	slopesTimeout    = 20 * time.Minute
+)
+
+var (
+	vmSizes         = []int{5, 10, 20, 40}
+	upstreamSizes   = []int{17, 34, 68, 136}
+	shardSizes      = []int{1, 5, 15, 30, 60, 120}
+	connectionSizes = []int{0, 250, 500, 1000}
+)
+
+// point is what was measured at one size.
+type point struct {
+	X       float64 `json:"x"`
+	Figures figures `json:"figures"`
+}
+
+// experiment is a series of points over one size.
+type experiment struct {
+	Name   string         `json:"name"`
+	X      string         `json:"x"`
+	Points []point        `json:"points"`
+	Fits   map[string]fit `json:"fits"`
+}
+
+func (e *experiment) add(x int, f figures) {
+	e.Points = append(e.Points, point{X: float64(x), Figures: f})
+}
+
+// fitAll fits a line to each figure.
+func (e *experiment) fitAll() {
+	e.Fits = make(map[string]fit)
+	names := make(map[string]bool)
+	for _, p := range e.Points {
+		for name := range p.Figures {
+			names[name] = true
+		}
+	}
+	for name := range names {
+		var x, y []float64
+		for _, p := range e.Points {
+			if value, ok := p.Figures[name]; ok {
+				x, y = append(x, p.X), append(y, value)
+			}
+		}
+		if f, ok := fitLine(x, y); ok {
+			e.Fits[name] = f
+		}
+	}
+}
+
+// slopesReport is the object that -scenario slopes prints.
+type slopesReport struct {
+	Scenario    string            `json:"scenario"`
+	Deployment  string            `json:"deployment"`
+	Seed        uint64            `json:"seed"`
+	Commit      string            `json:"commit"`
+	Processors  int               `json:"processors"`
+	Plugins     map[string]string `json:"plugins"`
+	Experiments []*experiment     `json:"experiments"`
+	// CPURatio is the CPU time of a sub-request in the tier over that in the bare fan-out, from the slopes over shards.
+	CPURatio float64 `json:"cpu_ratio"`
+}
+
+// slopes measures one series after the other.
+type slopes struct {
+	options  *options
+	starter  *starter
+	binaries *binaries
+	report   *slopesReport
+}
+
+func runSlopes(ctx context.Context, o *options, s *starter, b *binaries) error {
+	ctx, cancel := context.WithTimeout(ctx, slopesTimeout)
+	defer cancel()
+	m := &slopes{options: o, starter: s, binaries: b, report: &slopesReport{
+		Scenario: slopesName, Deployment: o.deployment, Seed: o.seed, Commit: o.commit, Processors: runtime.NumCPU(),
+	}}
+	for _, measure := range []func(context.Context) error{m.overVMs, m.overUpstreams, m.overShards, m.overConnections} {
+		if err := measure(ctx); err != nil {
+			return err
+		}
+	}
+	for _, e := range m.report.Experiments {
+		e.fitAll()
+	}
+	m.report.CPURatio = cpuRatio(m.report.Experiments)
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(m.report)
+}
+
+func cpuRatio(experiments []*experiment) float64 {
+	perSubRequest := make(map[string]float64)
+	for _, e := range experiments {
+		perSubRequest[e.Name] = e.Fits["cpu_us_per_query"].Slope
+	}
+	if bare := perSubRequest["bare_shards"]; bare > 0 {
+		return perSubRequest["shards"] / bare
+	}
+	return 0
+}
+
+func (m *slopes) begin(name, x string) *experiment {
+	e := &experiment{Name: name, X: x}
+	m.report.Experiments = append(m.report.Experiments, e)
+	fmt.Fprintln(os.Stderr, "bench: slopes over", name)
+	return e
+}
+
+// bed is one started world with one side.
+type bed struct {
+	world  *world
+	fleet  *fleet
+	caller *caller
+}
+
+func (m *slopes) open(ctx context.Context, name string, d *deployment.Deployment, vms int) (*bed, error) {
+	folder := filepath.Join(m.options.folder, name)
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, err
+	}
+	w, err := newWorld(ctx, m.options, m.starter, m.binaries, folder, d)
+	if err != nil {
+		return nil, err
+	}
+	f, err := startFleet(ctx, w, 0, "current", policies[m.options.policy], m.binaries, vms)
+	if err != nil {
+		return nil, err
+	}
+	m.report.Plugins = f.plugins
+	return &bed{world: w, fleet: f, caller: newCaller(f)}, nil
+}
+
+func (b *bed) close() error {
+	b.caller.close()
+	err := b.fleet.stop()
+	b.world.upstreams.stop()
+	return errors.Join(err, b.world.network.mark.Close())
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// idle measures a side without load.
+func (b *bed) idle(ctx context.Context) (figures, error) {
+	if err := wait(ctx, slopeIdle/2); err != nil {
+		return nil, err
+	}
+	before, err := b.fleet.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := wait(ctx, slopeIdle); err != nil {
+		return nil, err
+	}
+	after, err := b.fleet.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return idleFigures(before, after, len(b.fleet.vms)), nil
+}
+
+// load measures a side while it answers queries of one stream, and checks the answers.
+func (b *bed) load(ctx context.Context, st stream, idle figures) (figures, error) {
+	arrivals, err := schedule([]stream{st}, b.world.deployment, b.world.options.seed, st.count, slopeLoad)
+	if err != nil {
+		return nil, err
+	}
+	tag(arrivals, fmt.Sprintf("k%d-v%d-", st.count, len(b.fleet.vms)), 0)
+	before, err := b.fleet.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	record := newSideRecord()
+	service := serviceOf(b.world.deployment, st.service)
+	b.caller.run(ctx, arrivals, func(o outcome) { record.observe(&o, service, true) })
+	if _, err := b.world.awaitQuiet(ctx); err != nil {
+		return nil, err
+	}
+	after, err := b.fleet.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	f := loadFigures(before, after, idle, len(b.fleet.vms), record.queries)
+	f["complete_fraction"] = fraction(record.complete, record.queries)
+	f["p99_ms"] = quantileMS(record.all, 99)
+	return f, nil
+}
+
+func slopeStream(service core.ServiceName, shards int) stream {
+	return stream{service: service, kind: several, count: shards, rate: slopeSubRequests / float64(shards)}
+}
--- /dev/null
+++ b/bench/slopes_series.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"gooseberrylane.example/standins/deployment"
+)
+
+const (
+	// vmsShards is the number of shards of a query in the series over VMs and upstreams.
+	vmsShards = 8
+	// shardsOfGroup spreads the shards of the longest query over the groups of the series over shards.
+	shardsOfGroup = 4
+)
+
+// overVMs measures the cost of running and of queries at several numbers of VMs, with the upstreams of the deployment.
+func (m *slopes) overVMs(ctx context.Context) error {
+	idle, loaded := m.begin("vms_idle", "VMs"), m.begin("vms_loaded", "VMs")
+	for _, n := range vmSizes {
+		d, err := deployment.New(m.options.deployment, m.options.seed)
+		if err != nil {
+			return err
+		}
+		if err := m.point(ctx, fmt.Sprintf("vms-%d", n), d, n, n, idle, loaded); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// overUpstreams measures the same at several numbers of upstreams with the same VMs.
+func (m *slopes) overUpstreams(ctx context.Context) error {
+	idle, loaded := m.begin("upstreams_idle", "upstreams"), m.begin("upstreams_loaded", "upstreams")
+	for _, n := range upstreamSizes {
+		d := deployment.Uniform(m.options.seed, n/slopeReplicas, slopeReplicas, 1)
+		if err := m.point(ctx, fmt.Sprintf("upstreams-%d", n), d, slopeVMs, len(d.Upstreams), idle, loaded); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// point starts a bed and measures it idle and loaded.
+func (m *slopes) point(ctx context.Context, name string, d *deployment.Deployment, vms, x int, idle, loaded *experiment) (err error) {
+	b, err := m.open(ctx, name, d, vms)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, b.close()) }()
+	quiet, err := b.idle(ctx)
+	if err != nil {
+		return err
+	}
+	idle.add(x, quiet)
+	busy, err := b.load(ctx, slopeStream(d.Services[0].Name, vmsShards), quiet)
+	if err != nil {
+		return err
+	}
+	loaded.add(x, busy)
+	return nil
+}
+
+// overShards measures queries of several numbers of shards in the tier and, on the same upstreams, in a bare fan-out.
+func (m *slopes) overShards(ctx context.Context) (err error) {
+	groups := shardSizes[len(shardSizes)-1] / shardsOfGroup
+	d := deployment.Uniform(m.options.seed, groups, slopeReplicas, shardsOfGroup)
+	b, err := m.open(ctx, "shards", d, slopeVMs)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, b.close()) }()
+	quiet, err := b.idle(ctx)
+	if err != nil {
+		return err
+	}
+	bare, err := m.startBare(ctx, b)
+	if err != nil {
+		return err
+	}
+	defer bare.process.stop()
+	tier, plain := m.begin("shards", "shards of a query"), m.begin("bare_shards", "shards of a query")
+	for _, n := range shardSizes {
+		st := slopeStream(d.Services[0].Name, n)
+		f, err := b.load(ctx, st, quiet)
+		if err != nil {
+			return err
+		}
+		tier.add(n, f)
+		if f, err = bare.load(ctx, st); err != nil {
+			return err
+		}
+		plain.add(n, f)
+	}
+	return nil
+}
+
+// bareSide is the bare fan-out in a process of its own.
+type bareSide struct {
+	process *process
+	bed     *bed
+	caller  *caller
+}
+
+const bareHost = 249
+
+func (m *slopes) startBare(ctx context.Context, b *bed) (*bareSide, error) {
+	raw, err := json.Marshal(b.world.deployment.Services)
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(b.world.folder, "services.json")
+	if err := os.WriteFile(path, raw, 0o644); err != nil {
+		return nil, err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	v := &vm{name: "bare", ip: b.world.network.ip(1, 0, bareHost)}
+	v.proc, err = m.starter.start("bare", b.world.folder, daemonEnv, self, bareCommand, path, v.address(callerPort))
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{name: "bare", world: b.world, deployment: b.world.deployment, vms: []*vm{v}}
+	v.serving.Store(true)
+	return &bareSide{process: v.proc, bed: b, caller: newCaller(f)}, waitListening(ctx, v.address(callerPort))
+}
+
+// waitListening waits until an address accepts connections.
+func waitListening(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err == nil {
+			return c.Close()
+		}
+		if waitErr := wait(ctx, readyPoll); waitErr != nil {
+			return err
+		}
+	}
+}
+
+// load measures the bare fan-out on one stream. It has no idle cost that counts.
+func (s *bareSide) load(ctx context.Context, st stream) (figures, error) {
+	w := s.bed.world
+	arrivals, err := schedule([]stream{st}, w.deployment, w.options.seed, st.count, slopeLoad)
+	if err != nil {
+		return nil, err
+	}
+	before, err := s.process.usage()
+	if err != nil {
+		return nil, err
+	}
+	record := newSideRecord()
+	service := serviceOf(w.deployment, st.service)
+	s.caller.run(ctx, arrivals, func(o outcome) { record.observe(&o, service, true) })
+	after, err := s.process.usage()
+	if err != nil {
+		return nil, err
+	}
+	cpu := float64((after.CPU - before.CPU).Microseconds())
+	return figures{
+		"queries": float64(record.queries), "complete_fraction": fraction(record.complete, record.queries),
+		"cpu_us_per_query":       cpu / float64(max(record.queries, 1)),
+		"cpu_us_per_sub_request": cpu / float64(max(record.queries, 1)) / float64(st.count),
+		"p99_ms":                 quantileMS(record.all, 99),
+	}, nil
+}
+
+// overConnections measures the memory of a VM at several numbers of idle connections of callers.
+func (m *slopes) overConnections(ctx context.Context) (err error) {
+	e := m.begin("caller_connections", "connections")
+	d := deployment.Uniform(m.options.seed, domainCount, slopeReplicas, 1)
+	b, err := m.open(ctx, "connections", d, domainCount)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, b.close()) }()
+	var open []net.Conn
+	defer func() {
+		for _, c := range open {
+			c.Close()
+		}
+	}()
+	v := b.fleet.vms[0]
+	for _, n := range connectionSizes {
+		for len(open) < n {
+			c, err := idleConnection(ctx, v.address(callerPort))
+			if err != nil {
+				return err
+			}
+			open = append(open, c)
+		}
+		if err := wait(ctx, slopeIdle/4); err != nil {
+			return err
+		}
+		u, err := v.proc.usage()
+		if err != nil {
+			return err
+		}
+		vars, err := b.fleet.vars(ctx, v)
+		if err != nil {
+			return err
+		}
+		e.add(n, figures{"resident_bytes": float64(u.Resident), "go_total_bytes": vars["go_total_bytes"], "goroutines": vars["go_goroutines"]})
+	}
+	return nil
+}
+
+// idleConnection opens a connection and makes one call on it.
+func idleConnection(ctx context.Context, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := c.Write([]byte("GET /v1/ready HTTP/1.1\r\nHost: vm\r\n\r\n")); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	if _, err := c.Read(make([]byte, 4096)); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return c, nil
+}
--- a/standins/deployment/deployment.go
+++ b/standins/deployment/deployment.go
@@ -12,11 +12,30 @@
 // Domains are the failure domains of every deployment.
 var Domains = []core.FailureDomain{"fd-1", "fd-2", "fd-3"}
 
+// Limits of the upstreams of Uniform: wide enough to bear a load that measures the tier and not the upstreams.
+const (
+	uniformSlots       = 8
+	uniformConnections = 60
+	uniformServiceUS   = 1000
+)
+
+// Uniform returns a deployment of one service, named "uniform", for measurements at chosen sizes.
+func Uniform(seed uint64, groups, replicas, shardsOfGroup int) *Deployment {
+	d := &Deployment{Name: "uniform"}
+	d.add(&groupKind{
+		service: "uniform", groups: groups, replicas: replicas, shards: shardsOfGroup, slots: uniformSlots,
+		connections: uniformConnections, openCostMS: 1, serviceUS: uniformServiceUS, versionRule: core.VersionBestCovered,
+	}, seed)
+	return d
+}
+
 // groupKind describes groups of one sort.
 type groupKind struct {
-	service     core.ServiceName
-	groups      int
-	replicas    int
+	service  core.ServiceName
+	groups   int
+	replicas int
+	// shards is the number of shards of each group; 0 means shardsPerGroup.
+	shards      int
 	slots       int
 	connections int
 	openCostMS  int64
@@ -76,10 +95,14 @@
 		VersionRule: kind.versionRule, HedgePercent: hedgePercent, RetryPercent: retryPercent,
 	}}
 	layout := core.Layout{FirstVersion: 1}
+	shards := kind.shards
+	if shards == 0 {
+		shards = shardsPerGroup
+	}
 	for g := range kind.groups {
 		group := core.Group{Name: core.GroupName(fmt.Sprintf("group-%02d", g))}
-		for s := range shardsPerGroup {
-			layout.Shards = append(layout.Shards, core.Shard{Name: core.ShardName(fmt.Sprintf("shard-%02d", g*shardsPerGroup+s)), Group: group.Name})
+		for s := range shards {
+			layout.Shards = append(layout.Shards, core.Shard{Name: core.ShardName(fmt.Sprintf("shard-%02d", g*shards+s)), Group: group.Name})
 		}
 		for r := range kind.replicas {
 			id := fmt.Sprintf("%s-%02d-%d", kind.service, g, r)
