--- a/bench/options.go
+++ b/bench/options.go
@@ -17,7 +17,7 @@
 	deployment, scenario, policy, format string
 	compare, bounds, folder              string
 	seed                                 uint64
-	duration, slice                      time.Duration
+	duration, slice, warm                time.Duration
 	rate                                 float64
 	vms                                  int
 	commit                               string
@@ -30,6 +30,8 @@
 	maxDuration     = 10 * time.Minute
 	defaultSlice    = 5 * time.Second
 	minSlice        = time.Second
+	defaultWarm     = 3 * time.Second
+	maxWarm         = 2 * time.Minute
 	defaultRate     = 150
 	maxRate         = 20_000
 	slopesName      = "slopes"
@@ -44,6 +46,7 @@
 	flags.Uint64Var(&o.seed, "seed", 1, "`seed` of the load and the faults")
 	flags.DurationVar(&o.duration, "duration", defaultDuration, "measured `time` of each side")
 	flags.DurationVar(&o.slice, "slice", defaultSlice, "`time` after which the sides take turns")
+	flags.DurationVar(&o.warm, "warm", defaultWarm, "`time` of load before the measured time, so that the daemons learn latencies")
 	flags.Float64Var(&o.rate, "rate", defaultRate, "arrival `rate` in queries per second")
 	flags.IntVar(&o.vms, "vms", defaultVMs, "`number` of daemons of each side")
 	flags.StringVar(&o.format, "format", "json", "`format` of the output: json or table")
@@ -68,6 +71,8 @@
 		return fmt.Errorf("duration %v is outside %v to %v", o.duration, minSlice, maxDuration)
 	case o.slice < minSlice:
 		return fmt.Errorf("slice %v is below %v", o.slice, minSlice)
+	case o.warm < 0 || o.warm > maxWarm:
+		return fmt.Errorf("warm-up %v is outside 0 to %v", o.warm, maxWarm)
 	case o.rate <= 0 || o.rate > maxRate:
 		return fmt.Errorf("rate %g is outside 0 to %d", o.rate, maxRate)
 	case o.vms < domainCount || o.vms > maxVMs:
--- a/bench/run.go
+++ b/bench/run.go
@@ -15,7 +15,6 @@
 
 const (
 	sidesPerRun = 2
-	warmUp      = 1500 * time.Millisecond
 	// settlePause lets a side recover from the faults of a slice before its next one.
 	settlePause = 1200 * time.Millisecond
 	// runSlack bounds a run: the time beyond the measured one that starts, pauses and stops may take.
@@ -46,7 +45,7 @@
 
 // compare runs a scenario on two contenders and returns the report.
 func compare(ctx context.Context, o *options, s *starter, b *binaries, contenders [sidesPerRun]contender, name string) (*report, error) {
-	ctx, cancel := context.WithTimeout(ctx, sidesPerRun*o.duration*2+runSlack)
+	ctx, cancel := context.WithTimeout(ctx, sidesPerRun*(o.warm+2*o.duration)+runSlack)
 	defer cancel()
 	found, err := findScenarios(name)
 	if err != nil {
@@ -137,7 +136,7 @@
 
 // warm offers load that is not measured.
 func (c *comparison) warm(ctx context.Context, s *side) error {
-	arrivals, err := schedule(c.plan.streams, c.plan.deployment, c.world.options.seed, -1, warmUp)
+	arrivals, err := schedule(c.plan.streams, c.plan.deployment, c.world.options.seed, -1, c.world.options.warm)
 	if err != nil {
 		return err
 	}
--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -16,8 +16,11 @@
 
 // Sizes and times of the measurements.
 const (
-	slopeIdle = 4 * time.Second
-	slopeLoad = 5 * time.Second
+	// slopeIdle holds a whole number of the watches of the platform, which wait 10 s each.
+	slopeIdle = 10 * time.Second
+	// slopePause lets the daemons come to rest after their start.
+	slopePause = 2 * time.Second
+	slopeLoad  = 5 * time.Second
 	// slopeSubRequests is the rate of sub-requests that each point offers, so that points differ in one thing only.
 	slopeSubRequests = 1200
 	slopeVMs         = 6
@@ -175,7 +178,7 @@
 
 // idle measures a side without load.
 func (b *bed) idle(ctx context.Context) (figures, error) {
-	if err := wait(ctx, slopeIdle/2); err != nil {
+	if err := wait(ctx, slopePause); err != nil {
 		return nil, err
 	}
 	before, err := b.fleet.read(ctx)
