--- a/bench/main.go
+++ b/bench/main.go
@@ -44,6 +44,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	// A reader that goes away must not end the program before it has ended its processes.
+	signal.Ignore(syscall.SIGPIPE)
 	s := newStarter()
 	err = runAll(ctx, o, s)
 	s.stopAll()
