--- a/bench/run.go
+++ b/bench/run.go
@@ -43,7 +43,8 @@
 	binaries *binaries
 }
 
-// compare runs a scenario on two contenders and returns the report.
+// compare runs a scenario on two contenders. The report is there unless the run broke off; the error may also tell that a
+// process did not stop as it should.
 func compare(ctx context.Context, o *options, s *starter, b *binaries, contenders [sidesPerRun]contender, name string) (*report, error) {
 	ctx, cancel := context.WithTimeout(ctx, sidesPerRun*(o.warm+2*o.duration)+runSlack)
 	defer cancel()
@@ -68,8 +69,11 @@
 	if err == nil {
 		err = c.run(ctx)
 	}
-	r := newReport(c, name, contenders)
-	return r, errors.Join(err, c.stop())
+	if err != nil {
+		// An object with the figures of a part of a run would look like one of a whole run.
+		return nil, errors.Join(err, c.stop())
+	}
+	return newReport(c, name, contenders), c.stop()
 }
 
 func newPlan(o *options, contenders [sidesPerRun]contender, found []scenario) (*plan, error) {
