--- a/bench/main.go
+++ b/bench/main.go
@@ -27,6 +27,13 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	if len(args) == 3 && args[0] == bareCommand {
+		if err := runBare(args[1], args[2]); err != nil {
+			fmt.Fprintln(os.Stderr, "bench:", err)
+			return exitFailed
+		}
+		return 0
+	}
 	o, err := parseOptions(args)
 	if errors.Is(err, flag.ErrHelp) {
 		return 0
@@ -37,6 +44,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	// A reader that goes away must not end the program before it has ended its processes.
+	signal.Ignore(syscall.SIGPIPE)
 	s := newStarter()
 	err = runAll(ctx, o, s)
 	s.stopAll()
--- a/bench/run.go
+++ b/bench/run.go
@@ -15,7 +15,6 @@
 
 const (
 	sidesPerRun = 2
-	warmUp      = 1500 * time.Millisecond
 	// settlePause lets a side recover from the faults of a slice before its next one.
 	settlePause = 1200 * time.Millisecond
 	// runSlack bounds a run: the time beyond the measured one that starts, pauses and stops may take.
@@ -44,9 +43,10 @@
 	binaries *binaries
 }
 
-// compare runs a scenario on two contenders and returns the report.
+// compare runs a scenario on two contenders. The report is there unless the run broke off; the error may also tell that a
+// process did not stop as it should.
 func compare(ctx context.Context, o *options, s *starter, b *binaries, contenders [sidesPerRun]contender, name string) (*report, error) {
-	ctx, cancel := context.WithTimeout(ctx, sidesPerRun*o.duration*2+runSlack)
+	ctx, cancel := context.WithTimeout(ctx, sidesPerRun*(o.warm+2*o.duration)+runSlack)
 	defer cancel()
 	found, err := findScenarios(name)
 	if err != nil {
@@ -69,8 +69,11 @@
 	if err == nil {
 		err = c.run(ctx)
 	}
-	r := newReport(c, name, contenders)
-	return r, errors.Join(err, c.stop())
+	if err != nil {
+		// An object with the figures of a part of a run would look like one of a whole run.
+		return nil, errors.Join(err, c.stop())
+	}
+	return newReport(c, name, contenders), c.stop()
 }
 
 func newPlan(o *options, contenders [sidesPerRun]contender, found []scenario) (*plan, error) {
@@ -137,7 +140,7 @@
 
 // warm offers load that is not measured.
 func (c *comparison) warm(ctx context.Context, s *side) error {
-	arrivals, err := schedule(c.plan.streams, c.plan.deployment, c.world.options.seed, -1, warmUp)
+	arrivals, err := schedule(c.plan.streams, c.plan.deployment, c.world.options.seed, -1, c.world.options.warm)
 	if err != nil {
 		return err
 	}
