Admit queries by class, and cover silent attempts from the retry budget

Hedging: the budget of a new process was ten second requests ahead, which broke the share in short runs; it starts empty now. When the hedging budget is used up, an attempt that is silent for 3 times the delay is covered by a retry.

--- a/coord/hedge/hedge.go
+++ b/coord/hedge/hedge.go
@@ -9,11 +9,9 @@
 	"gooseberrylane.example/core"
 )
 
-// Limits of a budget, in second requests.
-const (
-	initialHedges = 10
-	maxBurst      = 100
-)
+// maxBurst bounds the second requests that a quiet time saves up. A new budget is empty, so that the share also holds
+// for the first minutes of a process.
+const maxBurst = 100
 
 // Settings of a Policy.
 type Settings struct {
@@ -56,7 +54,7 @@
 	if b, ok := p.budgets.Load(service); ok {
 		return b.(*budget.Bucket)
 	}
-	b, _ := p.budgets.LoadOrStore(service, budget.New(initialHedges, maxBurst))
+	b, _ := p.budgets.LoadOrStore(service, budget.New(0, maxBurst))
 	return b.(*budget.Bucket)
 }
 
--- a/coord/query/fixture_test.go
+++ b/coord/query/fixture_test.go
@@ -52,11 +52,12 @@
 	}
 }
 
-// learnDelay makes the hedging policy know a latency for each group.
+// learnDelay makes the hedging policy know a latency for each group and earn a budget.
 func (f *fixture) learnDelay(d time.Duration) {
 	for g := range f.service.Groups {
 		for range 32 {
 			f.policies.Hedger.ObserveLatency(f.service, f.service.Groups[g].Name, d)
+			f.policies.Hedger.ObserveLeg(epoch, f.service)
 		}
 	}
 }
--- a/coord/query/machine_test.go
+++ b/coord/query/machine_test.go
@@ -196,3 +196,23 @@
 	state.SetMissing(9, core.Window{Oldest: 3, Newest: 8})
 	c.Assert(state.Window(), qt.Equals, core.Window{Oldest: 3, Newest: 8})
 }
+
+// stingyHedger knows a delay but has no budget.
+type stingyHedger struct{ query.Hedger }
+
+func (stingyHedger) Allow(time.Time, *core.Service) bool { return false }
+
+// TestOverdueAttemptIsCoveredByARetry guards against shards that wait for their deadline when many connections go silent
+// at once and the hedging budget is used up.
+func TestOverdueAttemptIsCoveredByARetry(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(1, 2)
+	f.learnDelay(10 * time.Millisecond)
+	f.policies.Hedger = stingyHedger{f.policies.Hedger}
+	m := f.machine(true, time.Second)
+	first := sends(m.Start(epoch))[0]
+	c.Assert(sends(m.Wake(m.NextWake())), qt.HasLen, 0)
+	second := sends(m.Wake(m.NextWake()))
+	c.Assert(second, qt.HasLen, 1)
+	c.Assert(second[0].Upstream, qt.Not(qt.Equals), first.Upstream)
+}
--- a/coord/query/shard.go
+++ b/coord/query/shard.go
@@ -13,6 +13,9 @@
 	usualOpen     = 2
 )
 
+// overdueFactor is how many times longer than the hedging delay an attempt may be silent before a retry is spent on it.
+const overdueFactor = 3
+
 // replicaUse is what one sub-request knows of one replica.
 type replicaUse struct {
 	id    core.UpstreamID
@@ -29,6 +32,8 @@
 	// attempts counts all attempts, free those retries that cost no upstream anything.
 	attempts, free int
 	hedged         bool
+	// overdue is set when the hedging budget did not allow a second request and a retry may be spent on it.
+	overdue bool
 	// sendAt is the time of the next attempt, zero when none is planned. sendTo and sendVia, when set, are the upstream
 	// and the owner that the last refusal named.
 	sendAt  time.Time
@@ -147,13 +152,30 @@
 		return
 	}
 	upstream := m.selectFrom(now, m.usable(state, true))
-	if upstream == nil || !m.cfg.Policies.Hedger.Allow(now, m.cfg.Service) {
+	if upstream == nil || !m.allowHedge(now, state) {
 		return
 	}
 	state.hedged = true
 	m.dispatch(now, index, upstream, "", reasonHedge)
 }
 
+// allowHedge spends a second request from the hedging budget. When that is used up, the attempt gets more time, and then
+// a retry is spent: an attempt that is silent for several times the usual latency has most likely lost its connection,
+// and many of them at once use up the hedging budget.
+func (m *Machine) allowHedge(now time.Time, state *shardState) bool {
+	if m.cfg.Policies.Hedger.Allow(now, m.cfg.Service) {
+		return true
+	}
+	if !state.overdue {
+		state.overdue = true
+		state.hedgeAt = now.Add(time.Duration((overdueFactor - 1) * float64(now.Sub(state.open[0].sent))))
+		return false
+	}
+	failure := Failure{Code: core.CodeDeadlineExceeded, Attempts: state.attempts, Free: state.free, Left: m.cutOff.Sub(now)}
+	_, _, ok := m.cfg.Policies.Retrier.Allow(now, m.cfg.Random, m.cfg.Service, failure)
+	return ok
+}
+
 func (m *Machine) dispatch(now time.Time, index int, upstream *core.Upstream, via core.VMName, reason string) {
 	state := &m.shards[index]
 	query := &m.cfg.Query
--- a/demo/main.go
+++ b/demo/main.go
@@ -137,6 +137,7 @@
 		settings.Set("selection", "adaptive", nil)
 		settings.Set("hedging", "learned", nil)
 		settings.Set("retry", "budget", nil)
+		settings.Set("admission", "classes", nil)
 		if err := dm.startDaemon(settings, logs); err != nil {
 			return err
 		}
--- a/kernel/kinds/kinds.go
+++ b/kernel/kinds/kinds.go
@@ -162,8 +162,8 @@
 // Admission decides whether a query may start.
 type Admission interface {
 	// Enter waits for admission until the deadline of the query. The error is a *core.Error that proves that the query
-	// did not run; retryAfter is a hint in that case. On success the caller must call leave once.
-	Enter(ctx context.Context, q *core.Query, service *core.Service) (leave func(), retryAfter time.Duration, err error)
+	// did not run; retryAfter is a hint in that case. On success the caller must call leave once with the answer.
+	Enter(ctx context.Context, q *core.Query, service *core.Service) (leave func(*core.Answer), retryAfter time.Duration, err error)
 }
 
 // Record is what is known of a non-idempotent request.
--- a/plugins/admission/open/open.go
+++ b/plugins/admission/open/open.go
@@ -22,6 +22,6 @@
 type admission struct{}
 
 // Enter implements kinds.Admission.
-func (admission) Enter(context.Context, *core.Query, *core.Service) (func(), time.Duration, error) {
-	return func() {}, 0, nil
+func (admission) Enter(context.Context, *core.Query, *core.Service) (func(*core.Answer), time.Duration, error) {
+	return func(*core.Answer) {}, 0, nil
 }
--- a/plugins/engine/standard/engine.go
+++ b/plugins/engine/standard/engine.go
@@ -104,11 +104,14 @@
 	if err != nil {
 		return refuse(&q, err, retryAfter)
 	}
-	defer leave()
+	var answer core.Answer
+	defer func() { leave(&answer) }()
 	if q.Idempotent {
-		return e.runPinned(ctx, view, service, &q)
+		answer = e.runPinned(ctx, view, service, &q)
+	} else {
+		answer = e.runOnce(ctx, view, service, &q)
 	}
-	return e.runOnce(ctx, view, service, &q)
+	return answer
 }
 
 // refuse returns the answer to a query that did not run.
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -2,6 +2,7 @@
 package standard
 
 import (
+	_ "gooseberrylane.example/plugins/admission/classes"
 	_ "gooseberrylane.example/plugins/admission/open"
 	_ "gooseberrylane.example/plugins/configuration/log"
 	_ "gooseberrylane.example/plugins/configuration/static"
--- /dev/null
+++ b/test/policies/load_test.go
@@ -0,0 +1,163 @@
+package policies
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/standins/upstream"
+)
+
+// load is an open-loop offer of queries.
+type load struct {
+	rate     float64
+	duration time.Duration
+	deadline time.Duration
+}
+
+// outcome is what the callers saw.
+type outcome struct {
+	mu        sync.Mutex
+	latencies []time.Duration
+	queries   int
+	complete  int
+	refused   int
+	covered   int
+	wanted    int
+	wrong     int
+	reasons   map[core.Code]int
+}
+
+// offer sends queries at a fixed rate to the engines in turn; latency counts from the intended start.
+func (t *tier) offer(l load) *outcome {
+	o := &outcome{reasons: make(map[core.Code]int)}
+	n := int(l.rate * l.duration.Seconds())
+	started := time.Now()
+	var work sync.WaitGroup
+	for i := range n {
+		intended := started.Add(time.Duration(float64(i) / l.rate * float64(time.Second)))
+		time.Sleep(time.Until(intended))
+		work.Go(func() { t.ask(o, i, intended, l.deadline) })
+	}
+	work.Wait()
+	return o
+}
+
+func (t *tier) ask(o *outcome, i int, intended time.Time, deadline time.Duration) {
+	answer := t.engines[i%len(t.engines)].Run(context.Background(), core.Query{
+		Service: service, RequestID: core.RequestID(fmt.Sprint("q", i)), Caller: core.CallerName(fmt.Sprint("c", i%20)),
+		Idempotent: true, Deadline: intended.Add(deadline),
+	})
+	took := time.Since(intended)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.queries++
+	o.latencies = append(o.latencies, took)
+	o.wanted += t.shards
+	o.covered += len(answer.Covered)
+	if answer.Code == core.CodeOK && took <= deadline {
+		o.complete++
+	}
+	if answer.Code.IsNotRun() {
+		o.refused++
+	}
+	for _, shard := range answer.Covered {
+		var data upstream.Data
+		if json.Unmarshal(shard.Data, &data) != nil || data.Shard != string(shard.Shard) || data.Count != upstream.CountOf(data.Shard, uint64(answer.Version)) {
+			o.wrong++
+		}
+	}
+	for _, missing := range answer.Missing {
+		o.reasons[missing.Reason]++
+	}
+	if len(answer.Covered)+len(answer.Missing) != t.shards && !answer.Code.IsNotRun() {
+		o.wrong++
+	}
+}
+
+func (o *outcome) percentile(p float64) time.Duration {
+	slices.Sort(o.latencies)
+	return o.latencies[min(int(p*float64(len(o.latencies))), len(o.latencies)-1)]
+}
+
+// scenario switches faults on before or while the load runs.
+type scenario struct {
+	name  string
+	load  load
+	fault func(*tier)
+	// after delays the fault.
+	after time.Duration
+	// serviceUS replaces the mean time of an upstream, in microseconds, when it is not 0.
+	serviceUS int64
+}
+
+var scenarios = []scenario{
+	{name: "steady", load: load{100, 5 * time.Second, time.Second}},
+	{name: "stragglers", load: load{100, 5 * time.Second, time.Second}, fault: func(t *tier) {
+		t.setFaults(upstream.Faults{StragglerShare: 0.01, StragglerFactor: 20}, all)
+	}},
+	{name: "replica-loss", load: load{100, 5 * time.Second, time.Second}, after: time.Second, fault: func(t *tier) { _ = t.upstreams[0].Kill() }},
+	{name: "shed", load: load{100, 5 * time.Second, time.Second}, fault: func(t *tier) { t.setFaults(upstream.Faults{ShedShare: 0.02}, firstReplica) }},
+	{name: "drain", load: load{100, 7 * time.Second, time.Second}, after: time.Second, fault: func(t *tier) {
+		t.setFaults(upstream.Faults{Draining: true}, func(i int) bool { return i == 0 || i == 3 })
+	}},
+	{name: "silent", load: load{100, 5 * time.Second, time.Second}, after: time.Second, fault: func(t *tier) {
+		for i, server := range t.upstreams {
+			if firstReplica(i) {
+				server.Silence()
+			}
+		}
+	}},
+	// Four slots a group at 40 ms serve 100 queries/s.
+	{name: "overload", load: load{200, 6 * time.Second, time.Second}, serviceUS: 40_000},
+}
+
+// BenchmarkScenarios reports what callers and upstreams saw, for the baseline and for the real policies.
+func BenchmarkScenarios(b *testing.B) {
+	for _, s := range scenarios {
+		for name, policies := range map[string]map[string]string{"baseline": baseline, "current": current} {
+			b.Run(s.name+"/"+name, func(b *testing.B) {
+				for range b.N {
+					runScenario(b, s, policies)
+				}
+			})
+		}
+	}
+}
+
+func runScenario(b *testing.B, s scenario, policies map[string]string) {
+	cfg := smallTier(policies)
+	if s.serviceUS != 0 {
+		cfg.serviceUS = s.serviceUS
+	}
+	t := startTier(b, cfg)
+	// The policies learn latencies before the measurement.
+	t.offer(load{50, 2 * time.Second, time.Second})
+	before := t.counts()
+	if s.fault != nil && s.after == 0 {
+		s.fault(t)
+	}
+	var timer *time.Timer
+	if s.fault != nil && s.after > 0 {
+		timer = time.AfterFunc(s.after, func() { s.fault(t) })
+		defer timer.Stop()
+	}
+	o := t.offer(s.load)
+	after := t.counts()
+	b.ReportMetric(float64(o.percentile(0.5).Microseconds())/1000, "p50_ms")
+	b.ReportMetric(float64(o.percentile(0.99).Microseconds())/1000, "p99_ms")
+	b.ReportMetric(float64(o.covered)/float64(o.wanted), "coverage")
+	b.ReportMetric(float64(o.complete)/float64(o.queries), "complete")
+	b.ReportMetric(float64(o.refused)/float64(o.queries), "refused")
+	b.ReportMetric(float64(after.Begun-before.Begun)/float64(o.wanted-o.refused*t.shards)-1, "extra_load")
+	b.ReportMetric(float64(o.wrong), "wrong")
+	b.ReportMetric(float64(after.OverSlots+after.OverConnections), "over_limit")
+	b.ReportMetric(float64(after.LateAfterDrain), "late_after_drain")
+	b.ReportMetric(0, "ns/op")
+	b.Logf("reasons %v", o.reasons)
+}
