Bound the allocations of a sub-request in the query machine

Before, a result escaped to the heap because observers of results took it by pointer; they take its code now.

--- a/coord/query/fixture_test.go
+++ b/coord/query/fixture_test.go
@@ -24,6 +24,7 @@
 	service  *core.Service
 	policies query.Policies
 	sequence uint64
+	explain  bool
 }
 
 func newFixture(shards, replicas int) *fixture {
@@ -64,7 +65,7 @@
 
 func (f *fixture) machine(idempotent bool, deadline time.Duration) *query.Machine {
 	return query.New(query.Config{
-		Query:   core.Query{Service: "svc", RequestID: "r", Idempotent: idempotent, Deadline: epoch.Add(deadline), Explain: true},
+		Query:   core.Query{Service: "svc", RequestID: "r", Idempotent: idempotent, Deadline: epoch.Add(deadline), Explain: f.explain},
 		Service: f.service, View: f.view, Version: pinned, Shards: f.service.Layouts[0].Shards, Policies: f.policies,
 		Random: rand.New(rand.NewPCG(1, 1)),
 		NextAttempt: func() core.AttemptID {
--- a/coord/query/machine.go
+++ b/coord/query/machine.go
@@ -123,7 +123,7 @@
 	state := &m.shards[a.shard]
 	state.forget(a)
 	m.endReport(now, a, &result)
-	m.cfg.Policies.Selector.ObserveResult(now, m.cfg.View, state.group, a.leg.Upstream, &result)
+	m.cfg.Policies.Selector.ObserveResult(now, m.cfg.View, state.group, a.leg.Upstream, result.Code)
 	if state.done {
 		return m.flush()
 	}
--- a/coord/query/policy.go
+++ b/coord/query/policy.go
@@ -21,8 +21,8 @@
 type Selector interface {
 	// Select returns the index of the chosen candidate, or -1 when none may get work. Candidates are never empty.
 	Select(now time.Time, random *rand.Rand, candidates []Candidate) int
-	// ObserveResult learns from the result of an attempt at an upstream of a group. view holds the states of the group.
-	ObserveResult(now time.Time, view *core.View, group *core.Group, upstream core.UpstreamID, result *core.LegResult)
+	// ObserveResult learns from the code of the result of an attempt at an upstream of a group. view holds the states of the group.
+	ObserveResult(now time.Time, view *core.View, group *core.Group, upstream core.UpstreamID, code core.Code)
 }
 
 // Hedger decides on second requests. Implementations are safe for concurrent use and do not block.
--- a/coord/query/property_test.go
+++ b/coord/query/property_test.go
@@ -265,6 +265,7 @@
 			shards = rapid.IntRange(1, 4).Draw(rt, "shards")
 		}
 		f := newFixture(shards, rapid.IntRange(1, 4).Draw(rt, "replicas"))
+		f.explain = true
 		f.learnDelay(20 * time.Millisecond)
 		w := &world{
 			t: rt, f: f, now: epoch, deadline: epoch.Add(time.Second), single: single,
--- a/coord/selection/selection.go
+++ b/coord/selection/selection.go
@@ -57,8 +57,8 @@
 }
 
 // ObserveResult implements query.Selector.
-func (p *Policy) ObserveResult(now time.Time, view *core.View, group *core.Group, id core.UpstreamID, result *core.LegResult) {
-	p.ejection.Observe(now, view, group, id, result.Code)
+func (p *Policy) ObserveResult(now time.Time, view *core.View, group *core.Group, id core.UpstreamID, code core.Code) {
+	p.ejection.Observe(now, view, group, id, code)
 }
 
 // Select implements query.Selector. Replicas are narrowed down in steps, each of which is skipped when nothing would be
--- a/plugins/selection/random/random.go
+++ b/plugins/selection/random/random.go
@@ -36,4 +36,4 @@
 }
 
 // ObserveResult implements query.Selector.
-func (selector) ObserveResult(time.Time, *core.View, *core.Group, core.UpstreamID, *core.LegResult) {}
+func (selector) ObserveResult(time.Time, *core.View, *core.Group, core.UpstreamID, core.Code) {}
