Learn the hedging delay from few legs

With 20 VMs at 150 queries/s, a VM sees about 20 legs of a group in 15 s. It now begins at twice the geometric mean, takes larger steps at first, and uses the legs of the whole service until a group has 160 of its own.

--- a/coord/hedge/hedge.go
+++ b/coord/hedge/hedge.go
@@ -25,6 +25,9 @@
 // Defaults returns the default settings.
 func Defaults() Settings { return Settings{BudgetShare: 0.75, MinDelayMS: 1} }
 
+// wholeService stands for all groups of a service; no group has this name.
+const wholeService core.GroupName = ""
+
 type groupKey struct {
 	service core.ServiceName
 	group   core.GroupName
@@ -68,7 +71,12 @@
 	if service.Rule.HedgePercent <= 0 {
 		return 0, false
 	}
-	value, ok := p.quantile(service.Name, group).Value()
+	learned := p.quantile(service.Name, group)
+	if learned.Seen() < settled {
+		// A VM sees few legs of one group. Until these are enough, the legs of the whole service tell more.
+		learned = p.quantile(service.Name, wholeService)
+	}
+	value, ok := learned.Value()
 	return max(value, time.Duration(p.settings.MinDelayMS*float64(time.Millisecond))), ok
 }
 
@@ -85,9 +93,11 @@
 // ObserveLatency implements query.Hedger.
 func (p *Policy) ObserveLatency(service *core.Service, group core.GroupName, took time.Duration) {
 	p.quantile(service.Name, group).Observe(p.target(service), took)
+	p.quantile(service.Name, wholeService).Observe(p.target(service), took)
 }
 
 // ObserveCancelled implements query.Hedger. Without it, the estimate would see only the attempts that won.
 func (p *Policy) ObserveCancelled(service *core.Service, group core.GroupName, after time.Duration) {
 	p.quantile(service.Name, group).ObserveAtLeast(p.target(service), after)
+	p.quantile(service.Name, wholeService).ObserveAtLeast(p.target(service), after)
 }
--- a/coord/hedge/hedge_test.go
+++ b/coord/hedge/hedge_test.go
@@ -101,3 +101,19 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(value > 50*time.Millisecond && value < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%v", value))
 }
+
+// TestStragglerAtTheStartDoesNotStopHedging guards against a process that hedges nothing for minutes because one of the
+// first legs was a straggler, and against a group with few legs that never learns a delay.
+func TestStragglerAtTheStartDoesNotStopHedging(t *testing.T) {
+	c := qt.New(t)
+	p := hedge.New(hedge.Defaults())
+	p.ObserveLatency(service, "g0", 80*time.Millisecond)
+	random := rand.New(rand.NewPCG(seed, 1))
+	for range 99 {
+		p.ObserveLatency(service, "g1", time.Duration(float64(4*time.Millisecond)*(0.75+0.25*random.ExpFloat64())))
+	}
+	delay, ok := p.Delay(service, "g0")
+	c.Assert(ok, qt.IsTrue)
+	// Half the time of the straggler leaves a second request the time to be faster.
+	c.Assert(delay < 40*time.Millisecond, qt.IsTrue, qt.Commentf("seed %d: %v", seed, delay))
+}
--- a/coord/hedge/quantile.go
+++ b/coord/hedge/quantile.go
@@ -7,10 +7,16 @@
 )
 
 const (
-	// warmUp is the number of observations before an estimate is given; it begins at the highest of them.
-	warmUp = 16
-	// step is the largest relative change of the estimate by one observation.
-	step = 0.1
+	// warmUp is the number of observations before an estimate is given. It begins at startFactor times their geometric
+	// mean, which one straggler among them hardly changes; the highest of them would keep the estimate too high for
+	// thousands of observations.
+	warmUp      = 16
+	startFactor = 2
+	// settled is the number of observations after which the steps are at their final size.
+	settled = 160
+	// firstStep and step are the largest relative changes of the estimate by one observation, at first and finally.
+	firstStep = 0.5
+	step      = 0.1
 )
 
 // Quantile estimates one quantile of a stream of latencies in constant memory: an observation above the estimate
@@ -21,6 +27,9 @@
 	estimate atomic.Uint64
 }
 
+// Seen returns the number of observations, up to the number at which the estimate has settled.
+func (q *Quantile) Seen() int { return int(q.seen.Load()) }
+
 // Value returns the estimate and whether enough was observed.
 func (q *Quantile) Value() (time.Duration, bool) {
 	if q.seen.Load() < warmUp {
@@ -31,16 +40,16 @@
 
 // Observe adds a latency, for the quantile p between 0 and 1.
 func (q *Quantile) Observe(p float64, latency time.Duration) {
-	warm := q.seen.Load() >= warmUp
+	seen := q.seen.Load()
+	x := math.Max(float64(latency), 1)
 	for {
 		old := q.estimate.Load()
-		current := math.Float64frombits(old)
-		next := advance(p, current, float64(latency), warm)
-		if next == current || q.estimate.CompareAndSwap(old, math.Float64bits(next)) {
+		next := math.Float64bits(advance(p, math.Float64frombits(old), x, seen))
+		if q.estimate.CompareAndSwap(old, next) {
 			break
 		}
 	}
-	if !warm {
+	if seen < settled {
 		q.seen.Add(1)
 	}
 }
@@ -53,13 +62,20 @@
 	}
 }
 
-func advance(p, current, latency float64, warm bool) float64 {
-	switch {
-	case !warm:
-		return max(current, latency)
-	case latency > current:
-		return current * (1 + step*p)
-	default:
-		return current * (1 - step*(1-p))
+func advance(p, current, latency float64, seen int64) float64 {
+	if current == 0 {
+		return startFactor * latency
+	}
+	if seen < warmUp {
+		// The running geometric mean, times startFactor.
+		return current * math.Pow(startFactor*latency/current, 1/float64(seen+1))
+	}
+	size := step
+	if seen < settled {
+		size += (firstStep - step) * float64(settled-seen) / settled
+	}
+	if latency > current {
+		return current * (1 + size*p)
 	}
+	return current * (1 - size*(1-p))
 }
--- a/coord/query/machine_test.go
+++ b/coord/query/machine_test.go
@@ -72,9 +72,10 @@
 	f.learnDelay(10 * time.Millisecond)
 	m := f.machine(true, time.Second)
 	first := sends(m.Start(epoch))[0]
-	failed := epoch.Add(9 * time.Millisecond)
+	delay, _ := f.policies.Hedger.Delay(f.service, "g0")
+	failed := epoch.Add(delay - 1)
 	c.Assert(sends(m.Result(failed, notRun(first, core.CodeConnectFailed))), qt.HasLen, 1)
-	c.Assert(m.NextWake().Before(failed.Add(9*time.Millisecond)), qt.IsFalse)
+	c.Assert(m.NextWake().Before(failed.Add(delay)), qt.IsFalse)
 }
 
 // TestRefusedHedgeIsReplaced guards against a shard that waits for a straggler because its only second request was
