--- a/coord/hedge/hedge.go
+++ b/coord/hedge/hedge.go
@@ -9,11 +9,9 @@
 	"gooseberrylane.example/core"
 )
 
-// Limits of a budget, in second requests.
-const (
-	initialHedges = 10
-	maxBurst      = 100
-)
+// maxBurst bounds the second requests that a quiet time saves up. A new budget is empty, so that the share also holds
+// for the first minutes of a process.
+const maxBurst = 100
 
 // Settings of a Policy.
 type Settings struct {
@@ -27,7 +25,9 @@
 // Defaults returns the default settings.
 func Defaults() Settings { return Settings{BudgetShare: 0.75, MinDelayMS: 1} }
 
-// groupKey names a group, or with an empty group all groups of a service together.
+// wholeService stands for all groups of a service; no group has this name.
+const wholeService core.GroupName = ""
+
 type groupKey struct {
 	service core.ServiceName
 	group   core.GroupName
@@ -57,7 +57,7 @@
 	if b, ok := p.budgets.Load(service); ok {
 		return b.(*budget.Bucket)
 	}
-	b, _ := p.budgets.LoadOrStore(service, budget.New(initialHedges, maxBurst))
+	b, _ := p.budgets.LoadOrStore(service, budget.New(0, maxBurst))
 	return b.(*budget.Bucket)
 }
 
@@ -71,12 +71,12 @@
 	if service.Rule.HedgePercent <= 0 {
 		return 0, false
 	}
-	// A VM of many sees few requests of each group; until a group has enough of its own, the service speaks for it.
-	q := p.quantile(service.Name, group)
-	if !q.Settled() {
-		q = p.quantile(service.Name, "")
+	learned := p.quantile(service.Name, group)
+	if learned.Seen() < settled {
+		// A VM sees few legs of one group. Until these are enough, the legs of the whole service tell more.
+		learned = p.quantile(service.Name, wholeService)
 	}
-	value, ok := q.Value()
+	value, ok := learned.Value()
 	return max(value, time.Duration(p.settings.MinDelayMS*float64(time.Millisecond))), ok
 }
 
@@ -93,11 +93,11 @@
 // ObserveLatency implements query.Hedger.
 func (p *Policy) ObserveLatency(service *core.Service, group core.GroupName, took time.Duration) {
 	p.quantile(service.Name, group).Observe(p.target(service), took)
-	p.quantile(service.Name, "").Observe(p.target(service), took)
+	p.quantile(service.Name, wholeService).Observe(p.target(service), took)
 }
 
 // ObserveCancelled implements query.Hedger. Without it, the estimate would see only the attempts that won.
 func (p *Policy) ObserveCancelled(service *core.Service, group core.GroupName, after time.Duration) {
 	p.quantile(service.Name, group).ObserveAtLeast(p.target(service), after)
-	p.quantile(service.Name, "").ObserveAtLeast(p.target(service), after)
+	p.quantile(service.Name, wholeService).ObserveAtLeast(p.target(service), after)
 }
--- a/coord/hedge/quantile.go
+++ b/coord/hedge/quantile.go
@@ -2,21 +2,21 @@
 
 import (
 	"math"
-	"slices"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	// warmUp is the number of observations before an estimate is given.
-	warmUp = 16
-	// firstFactor times the median of the first observations is where an estimate begins. The highest of them would be
-	// a straggler in 15 of 100 cases, and the estimate falls slowly.
-	firstFactor = 2
-	// settledAfter is the number of observations after which an estimate has left its first value behind.
-	settledAfter = 256
-	// step is the largest relative change of the estimate by one observation.
-	step = 0.1
+	// warmUp is the number of observations before an estimate is given. It begins at startFactor times their geometric
+	// mean, which one straggler among them hardly changes; the highest of them would keep the estimate too high for
+	// thousands of observations.
+	warmUp      = 16
+	startFactor = 2
+	// settled is the number of observations after which the steps are at their final size.
+	settled = 160
+	// firstStep and step are the largest relative changes of the estimate by one observation, at first and finally.
+	firstStep = 0.5
+	step      = 0.1
 )
 
 // Quantile estimates one quantile of a stream of latencies in constant memory: an observation above the estimate
@@ -24,52 +24,34 @@
 // follows a change of scale in either direction. It is safe for concurrent use and takes no lock.
 type Quantile struct {
 	seen     atomic.Int64
-	first    [warmUp]atomic.Int64
 	estimate atomic.Uint64
 }
 
+// Seen returns the number of observations, up to the number at which the estimate has settled.
+func (q *Quantile) Seen() int { return int(q.seen.Load()) }
+
 // Value returns the estimate and whether enough was observed.
 func (q *Quantile) Value() (time.Duration, bool) {
-	estimate := q.estimate.Load()
-	return time.Duration(math.Float64frombits(estimate)), estimate != 0
+	if q.seen.Load() < warmUp {
+		return 0, false
+	}
+	return time.Duration(math.Float64frombits(q.estimate.Load())), true
 }
 
-// Settled reports whether so much was observed that the first value does not matter any more.
-func (q *Quantile) Settled() bool { return q.seen.Load() >= settledAfter }
-
 // Observe adds a latency, for the quantile p between 0 and 1.
 func (q *Quantile) Observe(p float64, latency time.Duration) {
-	if q.seen.Load() < settledAfter {
-		if n := q.seen.Add(1); n <= warmUp {
-			q.begin(n, latency)
-			return
-		}
-	}
+	seen := q.seen.Load()
+	x := math.Max(float64(latency), 1)
 	for {
 		old := q.estimate.Load()
-		if old == 0 {
-			// Another observer is about to store the first value.
-			return
-		}
-		next := advance(p, math.Float64frombits(old), float64(latency))
-		if q.estimate.CompareAndSwap(old, math.Float64bits(next)) {
-			return
+		next := math.Float64bits(advance(p, math.Float64frombits(old), x, seen))
+		if q.estimate.CompareAndSwap(old, next) {
+			break
 		}
 	}
-}
-
-// begin stores the n-th of the first observations; the last one sets the first value.
-func (q *Quantile) begin(n int64, latency time.Duration) {
-	q.first[n-1].Store(int64(latency))
-	if n < warmUp {
-		return
-	}
-	var sorted [warmUp]int64
-	for i := range sorted {
-		sorted[i] = q.first[i].Load()
+	if seen < settled {
+		q.seen.Add(1)
 	}
-	slices.Sort(sorted[:])
-	q.estimate.Store(math.Float64bits(max(firstFactor*float64(sorted[warmUp/2]), 1)))
 }
 
 // ObserveAtLeast adds a latency that was cut short: it counts only when it is above the estimate already, because
@@ -80,9 +62,20 @@
 	}
 }
 
-func advance(p, current, latency float64) float64 {
+func advance(p, current, latency float64, seen int64) float64 {
+	if current == 0 {
+		return startFactor * latency
+	}
+	if seen < warmUp {
+		// The running geometric mean, times startFactor.
+		return current * math.Pow(startFactor*latency/current, 1/float64(seen+1))
+	}
+	size := step
+	if seen < settled {
+		size += (firstStep - step) * float64(settled-seen) / settled
+	}
 	if latency > current {
-		return current * (1 + step*p)
+		return current * (1 + size*p)
 	}
-	return current * (1 - step*(1-p))
+	return current * (1 - size*(1-p))
 }
