Index a changed configuration set from the one before

Cause: at 90,300 upstreams a drain change of one upstream cost 23.5 ms to apply and 27.4 ms to publish, as both tables of upstreams were built anew.

The log now copies the table and walks only the services that changed, and the observed states are shared while no upstream is added or removed.

Checks proved by breaking the rule once: without the last step of IndexAfter, TestSharedUpstreamStaysIndexed fails; without the removal, TestLogIsDenseAndNeverGoesBack fails; with states shared whenever their number is equal, TestSetConfigKeepsObservedStates fails.

--- a/coord/config/log.go
+++ b/coord/config/log.go
@@ -94,7 +94,7 @@
 		steps = append(steps, Step{Change: change, Digest: l.digests.digest(set)})
 	}
 	if len(steps) > 0 {
-		l.set = set.Index()
+		l.set = set.IndexAfter(l.set)
 		l.trim()
 	}
 	return steps
--- a/coord/config/log_test.go
+++ b/coord/config/log_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"testing"
 
@@ -54,6 +55,9 @@
 	if got := encode(t, log.Set()); got != encode(t, want) {
 		t.Fatalf("set at revision %d is torn: %s", log.Revision(), got)
 	}
+	if !reflect.DeepEqual(log.Set().Upstreams(), want.Upstreams()) {
+		t.Fatalf("the index at revision %d does not match the set", log.Revision())
+	}
 	var d digester
 	if log.Digest() != d.digest(want) {
 		t.Fatal("the digest depends on the way to the set")
@@ -100,6 +104,21 @@
 	})
 }
 
+// TestSharedUpstreamStaysIndexed guards against an upstream that cannot be found because one of the services that list
+// it was removed.
+func TestSharedUpstreamStaysIndexed(t *testing.T) {
+	log := NewLog(10)
+	for i, op := range []Operation{{PutService: serviceOf("a", []int{0})}, {PutService: serviceOf("b", []int{0, 1})}, {DeleteService: "b"}} {
+		change := Change{Revision: core.Revision(i + 1), Plan: "p", Intent: Intent{Operations: []Operation{op}}}
+		if _, err := log.Add(change); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if log.Set().Upstream("u0") == nil || log.Set().Upstream("u1") != nil {
+		t.Fatalf("upstreams %v", log.Set().Upstreams())
+	}
+}
+
 func drawMembers(t *rapid.T) []core.VM {
 	all := make([]core.VM, rapid.IntRange(1, 30).Draw(t, "vms"))
 	for i := range all {
--- a/core/config.go
+++ b/core/config.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 type (
 	// ServiceName names a service.
@@ -132,6 +135,54 @@
 	return c
 }
 
+// IndexAfter is Index for a set that was made from an indexed one. Services that both sets share by pointer are not
+// walked, unless an upstream was removed that they may list too. At 90,000 upstreams, Index takes most of the time of a
+// small change.
+func (c *ConfigSet) IndexAfter(previous *ConfigSet) *ConfigSet {
+	c.upstreams = maps.Clone(previous.upstreams)
+	if c.upstreams == nil {
+		return c.Index()
+	}
+	removed := make(map[UpstreamID]bool)
+	for name, old := range previous.Services {
+		if c.Services[name] != old {
+			old.eachUpstream(func(u *Upstream) {
+				delete(c.upstreams, u.ID)
+				removed[u.ID] = true
+			})
+		}
+	}
+	for name, service := range c.Services {
+		if previous.Services[name] != service {
+			service.eachUpstream(func(u *Upstream) {
+				c.upstreams[u.ID] = u
+				delete(removed, u.ID)
+			})
+		}
+	}
+	if len(removed) == 0 {
+		return c
+	}
+	for name, service := range c.Services {
+		if previous.Services[name] == service {
+			service.eachUpstream(func(u *Upstream) {
+				if removed[u.ID] {
+					c.upstreams[u.ID] = u
+				}
+			})
+		}
+	}
+	return c
+}
+
+func (s *Service) eachUpstream(visit func(*Upstream)) {
+	for g := range s.Groups {
+		for u := range s.Groups[g].Upstreams {
+			visit(&s.Groups[g].Upstreams[u])
+		}
+	}
+}
+
 // Upstream returns the upstream with the given ID, or nil.
 func (c *ConfigSet) Upstream(id UpstreamID) *Upstream {
 	if c == nil {
--- a/kernel/state.go
+++ b/kernel/state.go
@@ -57,16 +57,33 @@
 		if v.Config != nil && set.Revision < v.Config.Revision {
 			return
 		}
-		states := make(map[core.UpstreamID]*core.UpstreamState, len(set.Upstreams()))
-		for id := range set.Upstreams() {
-			if old := v.Upstreams[id]; old != nil {
-				states[id] = old
-			} else {
-				states[id] = &core.UpstreamState{}
-			}
-		}
-		v.Config, v.Upstreams = set, states
+		v.Config, v.Upstreams = set, statesFor(set, v.Upstreams)
 		applied = true
 	})
 	return applied
 }
+
+// statesFor returns the observed states of the upstreams of a set. Most changes add and remove no upstream; then the
+// states are shared as they are, because a copy of the table costs more than the rest of a change.
+func statesFor(set *core.ConfigSet, old map[core.UpstreamID]*core.UpstreamState) map[core.UpstreamID]*core.UpstreamState {
+	upstreams := set.Upstreams()
+	same := len(old) == len(upstreams)
+	for id := range upstreams {
+		if !same {
+			break
+		}
+		same = old[id] != nil
+	}
+	if same {
+		return old
+	}
+	states := make(map[core.UpstreamID]*core.UpstreamState, len(upstreams))
+	for id := range upstreams {
+		if state := old[id]; state != nil {
+			states[id] = state
+		} else {
+			states[id] = &core.UpstreamState{}
+		}
+	}
+	return states
+}
