Cover overdue attempts sooner, and let legs arrive while a dispatcher stops

The race detector found legs that arrived while the dispatcher waited for its last work: a sync.WaitGroup does not allow that, and the stop could end before they did. They are counted by compare-and-swap now and refused as not run after the stop began.

--- a/coord/hedge/hedge.go
+++ b/coord/hedge/hedge.go
@@ -9,9 +9,12 @@
 	"gooseberrylane.example/core"
 )
 
-// maxBurst bounds the second requests that a quiet time saves up. A new budget is empty, so that the share also holds
-// for the first minutes of a process.
-const maxBurst = 100
+// Limits of a budget, in second requests. A new budget holds a few, because a process sees stragglers before it has earned
+// one; at 20 VMs that is 60 second requests in all.
+const (
+	initialHedges = 3
+	maxBurst      = 100
+)
 
 // Settings of a Policy.
 type Settings struct {
@@ -57,7 +60,7 @@
 	if b, ok := p.budgets.Load(service); ok {
 		return b.(*budget.Bucket)
 	}
-	b, _ := p.budgets.LoadOrStore(service, budget.New(0, maxBurst))
+	b, _ := p.budgets.LoadOrStore(service, budget.New(initialHedges, maxBurst))
 	return b.(*budget.Bucket)
 }
 
--- a/coord/query/shard.go
+++ b/coord/query/shard.go
@@ -14,7 +14,7 @@
 )
 
 // overdueFactor is how many times longer than the hedging delay an attempt may be silent before a retry is spent on it.
-const overdueFactor = 3
+const overdueFactor = 1.5
 
 // replicaUse is what one sub-request knows of one replica.
 type replicaUse struct {
@@ -160,8 +160,8 @@
 }
 
 // allowHedge spends a second request from the hedging budget. When that is used up, the attempt gets more time, and then
-// a retry is spent: an attempt that is silent for several times the usual latency has most likely lost its connection,
-// and many of them at once use up the hedging budget.
+// a retry is spent: an attempt that is silent for longer than nearly all others is a straggler or has lost its
+// connection, and many of them at once use up the hedging budget.
 func (m *Machine) allowHedge(now time.Time, state *shardState) bool {
 	if m.cfg.Policies.Hedger.Allow(now, m.cfg.Service) {
 		return true
--- a/plugins/dispatch/owner/owner.go
+++ b/plugins/dispatch/owner/owner.go
@@ -78,11 +78,11 @@
 	// base is cancelled when the dispatcher stops.
 	base   context.Context
 	cancel context.CancelFunc
-	work   sync.WaitGroup
+	work   workGroup
 }
 
 func newDispatcher(lc fx.Lifecycle, p params, settings *Settings) kinds.Dispatcher {
-	d := &dispatcher{params: p, settings: settings}
+	d := &dispatcher{params: p, settings: settings, work: workGroup{idle: make(chan struct{})}}
 	d.base, d.cancel = context.WithCancel(context.Background())
 	p.Peers.Handle(legsMessage{}, d.onLegs)
 	p.Peers.Handle(resultsMessage{}, d.onResults)
@@ -95,13 +95,8 @@
 // shutdown lets the sub-requests of other VMs finish, bounded by ctx.
 func (d *dispatcher) shutdown(ctx context.Context) error {
 	defer d.cancel()
-	finished := make(chan struct{})
-	go func() {
-		d.work.Wait()
-		close(finished)
-	}()
 	select {
-	case <-finished:
+	case <-d.work.Close():
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -139,12 +134,17 @@
 func (d *dispatcher) runLocal(ctx context.Context, leg core.Leg, follows int, deliver func(core.LegResult)) {
 	work, cancel := context.WithDeadline(ctx, leg.NotAfter)
 	d.local.Store(leg.Attempt.Sequence, cancel)
-	d.work.Go(func() {
+	begun := d.work.Go(func() {
 		result := d.execute(work, leg)
 		d.local.Delete(leg.Attempt.Sequence)
 		cancel()
 		d.finish(ctx, leg, d.Identity.VM, follows, deliver, result)
 	})
+	if !begun {
+		d.local.Delete(leg.Attempt.Sequence)
+		cancel()
+		deliver(core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeNotOwner})
+	}
 }
 
 // execute runs a leg. While this VM is taking over the upstream, the leg waits, because it is at the right VM.
@@ -263,16 +263,30 @@
 			cancel()
 			continue
 		}
-		d.work.Go(func() {
+		begun := d.work.Go(func() {
 			defer cancel()
 			result := d.execute(ctx, leg)
 			d.running.Delete(key)
 			// A lost result looks like a late one to the other VM.
 			_ = d.Peers.Send(d.base, from, resultsMessage{Started: m.Started, Results: []wireResult{encodeResult(result)}})
 		})
+		if !begun {
+			d.running.Delete(key)
+			cancel()
+			d.refuse(from, m.Started, leg.Attempt)
+		}
 	}
 }
 
+// refuse answers a leg that arrived while this VM stops. The refusal is lost when the link has ended already; the other
+// VM then treats the leg as one whose outcome is unknown.
+func (d *dispatcher) refuse(to core.VM, started core.Incarnation, attempt core.AttemptID) {
+	result := core.LegResult{Attempt: attempt, Outcome: core.OutcomeNotRun, Code: core.CodeNotOwner}
+	go func() {
+		_ = d.Peers.Send(d.base, to, resultsMessage{Started: started, Results: []wireResult{encodeResult(result)}})
+	}()
+}
+
 func (d *dispatcher) onResults(_ core.VM, message kinds.Message) {
 	m := message.(*resultsMessage)
 	if m.Started != d.Identity.Incarnation {
