--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -84,10 +84,11 @@
 	unknown := &answer{Code: core.CodeOutcomeUnknown}
 	falseNotRun, wrong, doubled := checkWrites(map[string][]*answer{
 		"ran": {ok}, "refused": {notRun}, "lied": {notRun}, "invented": {ok}, "unknown": {unknown}, "twice": {ok},
-	}, map[string]int{"ran": 1, "lied": 1, "unknown": 1, "twice": 2})
+		"unanswered": nil, "unanswered-twice": nil,
+	}, map[string]int{"ran": 1, "lied": 1, "unknown": 1, "twice": 2, "unanswered": 1, "unanswered-twice": 2})
 	c.Check(falseNotRun, qt.Equals, 1)
 	c.Check(wrong, qt.Equals, 1)
-	c.Check(doubled, qt.Equals, 1)
+	c.Check(doubled, qt.Equals, 2)
 }
 
 // TestScheduleRepeats guards against sides that get different loads, and against rates or shares that are off.
--- a/bench/check.go
+++ b/bench/check.go
@@ -171,13 +171,16 @@
 }
 
 // checkWrites compares the answers to non-idempotent requests with how often the upstreams ran them. The answers of one
-// request, of which there is more than one after a resend, are judged together.
+// request are judged together; a request without an answer may have run once.
 func checkWrites(answers map[string][]*answer, runs map[string]int) (falseNotRun, wrong, doubled int) {
 	for id, given := range answers {
 		ran := runs[id]
 		if ran > 1 {
 			doubled++
 		}
+		if len(given) == 0 {
+			continue
+		}
 		// The last answer is the one that the caller acts on.
 		last := given[len(given)-1]
 		switch {
--- a/bench/record.go
+++ b/bench/record.go
@@ -185,6 +185,7 @@
 // observeWrite keeps the answer to a non-idempotent request for the comparison with what the upstreams ran.
 func (r *sideRecord) observeWrite(o *outcome, service *core.Service) {
 	r.writesSent++
+	r.writes[o.query.id] = nil
 	if o.answer == nil {
 		r.writesUnknown++
 		return
--- a/bench/settings.go
+++ b/bench/settings.go
@@ -16,6 +16,9 @@
 // stopTimeoutMS bounds the graceful stop of a daemon, in milliseconds. It is shorter than killGrace.
 const stopTimeoutMS = 8000
 
+// leaveTimeoutMS bounds the hand-over of a planned stop, in milliseconds. It leaves time for the rest of the stop.
+const leaveTimeoutMS = 5000
+
 // choosePlugins resolves the policy of the side and the kinds that all policies share.
 func (f *fleet) choosePlugins() error {
 	chosen, err := f.policy.choices(f.binaries.plugins)
@@ -68,6 +71,8 @@
 			members[i] = member{Name: v.name, FailureDomain: domainName(v.domain), PeerAddress: v.proxy.Address()}
 		}
 		return map[string]any{"members": members}
+	case "membership/heartbeat":
+		return map[string]any{"leave_timeout_ms": leaveTimeoutMS}
 	case "configuration/static":
 		return map[string]any{"services": f.deployment.Services}
 	default:
--- a/standins/platform/handlers.go
+++ b/standins/platform/handlers.go
@@ -45,13 +45,21 @@
 		faults := s.faults
 		fails := s.random.Float64() < faults.ErrorShare
 		loses := write && s.random.Float64() < faults.LostAnswerShare
-		if faults.Down || fails {
+		limited := !faults.Down && !s.sustains(write, &faults)
+		switch {
+		case limited:
+			s.counts.Limited++
+		case faults.Down || fails:
 			s.counts.Refused++
 		}
 		s.mu.Unlock()
 		if faults.Down {
 			drop()
 		}
+		if limited {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
 		if faults.DelayMS > 0 {
 			select {
 			case <-time.After(time.Duration(faults.DelayMS) * time.Millisecond):
@@ -71,6 +79,14 @@
 	}
 }
 
+// sustains reports whether the platform has capacity for a call.
+func (s *Server) sustains(write bool, faults *Faults) bool {
+	if write {
+		return s.writes.take(time.Now(), faults.WritesPerSecond)
+	}
+	return s.reads.take(time.Now(), faults.ReadsPerSecond)
+}
+
 // discard is a response whose answer is lost.
 type discard struct{ header http.Header }
 
@@ -230,11 +246,19 @@
 func (s *Server) listVMs(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	s.counts.VMLists++
-	vms := append([]VM{}, s.vms...)
+	vms := append([]VM{}, s.listedVMs(time.Now())...)
 	s.mu.Unlock()
 	writeJSON(w, vms)
 }
 
+// listedVMs returns the list of VMs as it is seen at a time.
+func (s *Server) listedVMs(now time.Time) []VM {
+	if now.Sub(s.vmsChanged) < time.Duration(s.faults.ListLagMS)*time.Millisecond {
+		return s.earlier
+	}
+	return s.vms
+}
+
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
--- a/standins/platform/platform.go
+++ b/standins/platform/platform.go
@@ -26,6 +26,12 @@
 	DelayMS int64 `json:"delay_ms"`
 	// StaleShare of the reads return the object as it was before its last change.
 	StaleShare float64 `json:"stale_share"`
+	// ListLagMS is how long the list of VMs stays as it was before its last change, in milliseconds.
+	ListLagMS int64 `json:"list_lag_ms"`
+	// WritesPerSecond and ReadsPerSecond bound the calls; those above are refused with 429. 0 means no bound. A watch
+	// counts as a read when it begins.
+	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
 }
 
 // Counts is what the platform saw. A watch counts as one call while it waits.
@@ -36,12 +42,14 @@
 	Watches uint64 `json:"watches"`
 	VMLists uint64 `json:"vm_lists"`
 	Refused uint64 `json:"refused"`
+	// Limited counts calls above the rates that the platform sustains.
+	Limited uint64 `json:"limited"`
 	Waiting int64  `json:"waiting"`
 }
 
 // Total returns the number of calls.
 func (c Counts) Total() uint64 {
-	return c.Reads + c.Writes + c.Lists + c.Watches + c.VMLists + c.Refused
+	return c.Reads + c.Writes + c.Lists + c.Watches + c.VMLists + c.Refused + c.Limited
 }
 
 // VM is one entry of the VM list.
@@ -74,8 +82,13 @@
 	version uint64
 	changed chan struct{}
 	vms     []VM
-	faults  Faults
-	counts  Counts
+	// earlier is the list of VMs before its last change, which was at vmsChanged.
+	earlier    []VM
+	vmsChanged time.Time
+	writes     allowance
+	reads      allowance
+	faults     Faults
+	counts     Counts
 }
 
 // New returns a platform that listens on an address once started.
@@ -119,6 +132,7 @@
 func (s *Server) SetVMs(vms []VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.earlier, s.vmsChanged = s.vms, time.Now()
 	s.vms = append([]VM(nil), vms...)
 }
 
--- a/standins/platform/platform_test.go
+++ b/standins/platform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -47,3 +48,30 @@
 	rest := s.listed("k/", first[len(first)-1].Key, maxListed)
 	c.Check(len(first)+len(rest), qt.Equals, objects)
 }
+
+// TestListOfVMsLags guards against a stand-in that tells changes of the fleet at once, which the real platform does not.
+func TestListOfVMsLags(t *testing.T) {
+	c := qt.New(t)
+	s := New("127.0.0.1:0", 1)
+	s.SetFaults(Faults{ListLagMS: 1000})
+	s.SetVMs([]VM{{Name: "vm-1"}})
+	c.Check(s.listedVMs(s.vmsChanged.Add(999*time.Millisecond)), qt.HasLen, 0)
+	c.Check(s.listedVMs(s.vmsChanged.Add(time.Second)), qt.HasLen, 1)
+}
+
+// TestRatesAreBounded guards against a stand-in that bears more calls than the platform sustains.
+func TestRatesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var a allowance
+	now := time.Unix(1000, 0)
+	taken := func(at time.Time) (n int) {
+		for a.take(at, 10) {
+			n++
+		}
+		return n
+	}
+	c.Check(taken(now), qt.Equals, 10)
+	c.Check(taken(now.Add(500*time.Millisecond)), qt.Equals, 5)
+	c.Check(taken(now.Add(time.Hour)), qt.Equals, 10)
+	c.Check(a.take(now.Add(time.Hour), 0), qt.IsTrue)
+}
--- a/standins/upstream/handlers.go
+++ b/standins/upstream/handlers.go
@@ -183,11 +183,31 @@
 	defer s.mu.Unlock()
 	h.Set("X-Window-Oldest", strconv.FormatUint(s.oldest, 10))
 	h.Set("X-Window-Newest", strconv.FormatUint(s.newest, 10))
-	if s.faults.Draining && !(hint && s.faults.HealthLies) {
+	if s.faults.Draining && !(hint && s.hidesDraining(time.Now())) {
 		h.Set("X-Draining", "1")
 	}
 }
 
+// hidesDraining reports whether the health endpoint does not tell yet, or never tells, that the upstream drains.
+func (s *Server) hidesDraining(now time.Time) bool {
+	return s.faults.HealthLies || now.Sub(s.draining) < s.lag()
+}
+
+func (s *Server) lag() time.Duration { return time.Duration(s.faults.HealthLagMS) * time.Millisecond }
+
+// reportedLoad returns the number of running requests that the load endpoint reports. It is renewed once in each lag.
+func (s *Server) reportedLoad(now time.Time) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.HealthLies {
+		return 0
+	}
+	if now.Sub(s.reportedAt) >= s.lag() {
+		s.reported, s.reportedAt = s.counts.Running, now
+	}
+	return s.reported
+}
+
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	cancel := s.running[r.PathValue("attempt")]
@@ -206,12 +226,7 @@
 }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	running, lies := s.counts.Running, s.faults.HealthLies
-	s.mu.Unlock()
-	if lies {
-		running = 0
-	}
+	running := s.reportedLoad(time.Now())
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]int64{"running": running, "slots": int64(s.cfg.Slots)})
 }
--- a/standins/upstream/host_test.go
+++ b/standins/upstream/host_test.go
@@ -105,3 +105,18 @@
 	}
 	c.Check(draw(), qt.DeepEquals, draw())
 }
+
+// TestHealthLags guards against a tier that is tested with health and load endpoints that are always right.
+func TestHealthLags(t *testing.T) {
+	c := qt.New(t)
+	s := New(Config{ID: "a"})
+	s.SetFaults(Faults{HealthLagMS: 1000})
+	s.Drain()
+	c.Check(s.hidesDraining(s.draining.Add(999*time.Millisecond)), qt.IsTrue)
+	c.Check(s.hidesDraining(s.draining.Add(time.Second)), qt.IsFalse)
+	now := time.Unix(1000, 0)
+	c.Check(s.reportedLoad(now), qt.Equals, int64(0))
+	s.counts.Running = 2
+	c.Check(s.reportedLoad(now.Add(999*time.Millisecond)), qt.Equals, int64(0))
+	c.Check(s.reportedLoad(now.Add(time.Second)), qt.Equals, int64(2))
+}
--- a/standins/upstream/upstream.go
+++ b/standins/upstream/upstream.go
@@ -48,6 +48,8 @@
 	ColdFactor float64 `json:"cold_factor"`
 	// HealthLies makes the health and load endpoints report a healthy, idle upstream whatever happens.
 	HealthLies bool `json:"health_lies"`
+	// HealthLagMS is how far the health and load endpoints lag behind, in milliseconds.
+	HealthLagMS int64 `json:"health_lag_ms"`
 }
 
 // Counts is what an upstream saw.
@@ -90,10 +92,13 @@
 	draining time.Time
 	oldest   uint64
 	newest   uint64
-	running  map[string]context.CancelFunc
-	writes   map[string]int
-	counts   Counts
-	conns    map[*upstreamConn]struct{}
+	// reported is what the load endpoint reports, read at reportedAt.
+	reported   int64
+	reportedAt time.Time
+	running    map[string]context.CancelFunc
+	writes     map[string]int
+	counts     Counts
+	conns      map[*upstreamConn]struct{}
 }
 
 // New returns an upstream that is not started.
