--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -23,6 +23,7 @@
 	readyPoll    = 50 * time.Millisecond
 	balancerPoll = 250 * time.Millisecond
 	balancerLag  = 1000 * time.Millisecond
+	listLag      = 2000 * time.Millisecond
 )
 
 // vm is one entry VM: a daemon process behind a proxy for its peers.
@@ -52,8 +53,10 @@
 	platformAddress string
 	platformControl control.Client
 	platformProxies []*faultproxy.Proxy
-	vms             []*vm
-	plugins         map[string]string
+	// platformFaults are those that the platform always has.
+	platformFaults platform.Faults
+	vms            []*vm
+	plugins        map[string]string
 	// replaced counts planned replacements of VMs.
 	replaced int
 	cancel   context.CancelFunc
@@ -78,6 +81,10 @@
 	if err := f.startVMs(ctx); err != nil {
 		return nil, err
 	}
+	f.platformFaults = platform.Faults{ListLagMS: listLag.Milliseconds()}
+	if err := f.platformControl.Call(ctx, "/v1/faults", f.platformFaults, nil); err != nil {
+		return nil, err
+	}
 	var watch context.Context
 	watch, f.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	f.done.Go(func() { f.balance(watch) })
--- a/bench/scenarios_tier.go
+++ b/bench/scenarios_tier.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gooseberrylane.example/core"
-	"gooseberrylane.example/standins/platform"
 	"gooseberrylane.example/standins/upstream"
 )
 
@@ -115,11 +114,13 @@
 		return err
 	}
 	s.markFault()
-	return s.fleet.platformControl.Call(ctx, "/v1/faults", platform.Faults{Down: true}, nil)
+	faults := s.fleet.platformFaults
+	faults.Down = true
+	return s.fleet.platformControl.Call(ctx, "/v1/faults", faults, nil)
 }
 
 func (platformDown) After(ctx context.Context, s *stage) error {
-	return s.fleet.platformControl.Call(ctx, "/v1/faults", platform.Faults{}, nil)
+	return s.fleet.platformControl.Call(ctx, "/v1/faults", s.fleet.platformFaults, nil)
 }
 
 // vmReplacement replaces VMs one after another, as planned stops. Each slice goes on where the last one of the side
--- a/bench/scenarios_upstream.go
+++ b/bench/scenarios_upstream.go
@@ -103,7 +103,11 @@
 // drain makes one replica of every fifth group and of each larger group leave.
 type drain struct{ noHooks }
 
-const drainEvery = 5
+const (
+	drainEvery = 5
+	// healthLagMS is how late the health endpoint tells that the upstream drains.
+	healthLagMS = 2000
+)
 
 func (drain) Name() string { return "drain" }
 
@@ -112,7 +116,9 @@
 		return err
 	}
 	s.markFault()
-	return s.changeFaults(ctx, s.replicas(drainEvery), func(f *upstream.Faults) { f.Draining = true })
+	return s.changeFaults(ctx, s.replicas(drainEvery), func(f *upstream.Faults) {
+		f.Draining, f.HealthLagMS = true, healthLagMS
+	})
 }
 
 // silent makes every open connection to one replica of every third group, and the links to every fourth VM, carry
