--- a/bench/report.go
+++ b/bench/report.go
@@ -181,6 +181,9 @@
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintf(w, "%s %s, seed %d, %g queries/s, %v a side, %d VMs, commit %s\n", r.Deployment, r.Scenario, r.Seed, r.Rate,
 		time.Duration(r.DurationMS)*time.Millisecond, r.VMs, r.Commit)
+	for _, s := range r.Sides {
+		fmt.Fprintf(w, "%s: %v\n", s.Name, s.Plugins)
+	}
 	fmt.Fprintln(table, "field\tbaseline\tcurrent\tratio\t")
 	for _, name := range r.fields() {
 		ratio := "-"
