--- a/plugins/executor/slots/target_test.go
+++ b/plugins/executor/slots/target_test.go
@@ -163,7 +163,10 @@
 	c := qt.New(t)
 	held, pool := newTestTarget(1)
 	state := kernel.NewState()
-	state.Update(func(v *core.View) { v.Upstreams = map[core.UpstreamID]*core.UpstreamState{"u": {}} })
+	state.Update(func(v *core.View) {
+		v.Upstreams = map[core.UpstreamID]*core.UpstreamState{"u": {}}
+		v.Ownership = &core.Ownership{Held: map[core.UpstreamID]bool{"u": true}}
+	})
 	e := &executor{params: params{
 		State: state, Clock: fixedClock{}, Transport: fakeTransport{pool}, Log: slog.New(slog.NewJSONHandler(io.Discard, nil)),
 	}}
--- a/test/membership/cluster_test.go
+++ b/test/membership/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"gooseberrylane.example/plugins/frontend/api"
+	"gooseberrylane.example/standins/deployment"
 	"gooseberrylane.example/standins/platform"
 	"gooseberrylane.example/standins/upstream"
 	"gooseberrylane.example/test/harness"
@@ -20,34 +20,26 @@
 
 func TestMain(m *testing.M) { harness.Main(m) }
 
-const operatorPort = "7103"
-
-// timing shortens the rules of the design page, in the same proportions.
-var timing = map[string]any{
-	"period_ms": 250, "suspect_after_ms": 1000, "hold_for_ms": 1000, "fence_after_ms": 2500, "list_ms": 200, "forget_after_ms": 10_000,
-}
-
-// withHeartbeats chooses the heartbeat plug-in, with the VMs of the cluster known at the start, and a page for status.
-func withHeartbeats(vm *harness.VM, plugins map[string]any) {
-	static := plugins["membership"].([]any)[0].(map[string]any)["settings"].(map[string]any)
-	settings := map[string]any{"members": static["members"]}
-	for key, value := range timing {
-		settings[key] = value
+// timing shortens the rules of the design page, in about the same proportions.
+func timing() map[string]any {
+	return map[string]any{
+		"period_ms": 250, "suspect_after_ms": 1000, "hold_for_ms": 1000, "fence_after_ms": 2500, "list_ms": 200, "forget_after_ms": 10_000,
 	}
-	plugins["membership"] = harness.Plugin("heartbeat", settings)
-	plugins["front_end"] = append(plugins["front_end"].([]any), harness.Plugin("operator", map[string]any{"listen": operatorAddress(vm)})...)
 }
 
-func operatorAddress(vm *harness.VM) string {
-	host, _, err := net.SplitHostPort(vm.Caller)
-	if err != nil {
-		panic(err)
-	}
-	return net.JoinHostPort(host, operatorPort)
+// withHeartbeats chooses the heartbeat plug-in, with the VMs of the cluster known at the start, and a page for status.
+func withHeartbeats(vm *harness.VM, settings *deployment.Settings) {
+	static := settings.Plugins["membership"][0].Settings.(map[string]any)
+	chosen := timing()
+	chosen["members"] = static["members"]
+	settings.Set("membership", "heartbeat", chosen)
+	settings.Plugins["front_end"] = append(settings.Plugins["front_end"], deployment.Choice{
+		Name: "operator", Settings: map[string]any{"listen": vm.Operator},
+	})
 }
 
 // start starts VMs in one failure domain after the other and waits until each upstream has one owner.
-func start(c *qt.C, n int, change harness.Plugins) *harness.Cluster {
+func start(c *qt.C, n int, change harness.Change) *harness.Cluster {
 	if change == nil {
 		change = withHeartbeats
 	}
@@ -68,13 +60,13 @@
 func list(cl *harness.Cluster, vms []*harness.VM) {
 	listed := make([]platform.VM, len(vms))
 	for i, vm := range vms {
-		listed[i] = platform.VM{Name: vm.Name, Domain: vm.Domain, PeerAddress: vm.Peer}
+		listed[i] = platform.VM{Name: vm.Name, Domain: string(vm.Domain), PeerAddress: vm.Peer}
 	}
 	cl.Platform.SetVMs(listed)
 }
 
 func status(vm *harness.VM) (*api.Status, error) {
-	response, err := http.Get("http://" + operatorAddress(vm) + "/v1/status")
+	response, err := http.Get("http://" + vm.Operator + "/v1/status")
 	if err != nil {
 		return nil, err
 	}
--- a/test/membership/membership_test.go
+++ b/test/membership/membership_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gooseberrylane.example/standins/deployment"
 	"gooseberrylane.example/test/harness"
 )
 
@@ -82,10 +83,10 @@
 func TestDifferentListsEndWithOneOwner(t *testing.T) {
 	c := qt.New(t)
 	// Each VM is told of itself only; the platform's list introduces them later.
-	cl := harness.Start(c, "directorate", 6, func(vm *harness.VM, plugins map[string]any) {
-		withHeartbeats(vm, plugins)
-		settings := plugins["membership"].([]any)[0].(map[string]any)["settings"].(map[string]any)
-		settings["members"] = []any{map[string]any{"name": vm.Name, "failure_domain": vm.Domain, "peer_address": vm.Peer}}
+	cl := harness.Start(c, "directorate", 6, func(vm *harness.VM, settings *deployment.Settings) {
+		withHeartbeats(vm, settings)
+		chosen := settings.Plugins["membership"][0].Settings.(map[string]any)
+		chosen["members"] = deployment.Members([]deployment.VM{vm.VM})
 	})
 	cl.WaitFor("two owners of the same upstream", func() bool {
 		first, err := status(cl.VMs[0])
