Test the links between VMs: failed dials, silence, replacement, bounds

The silent link is made by the fault proxy, which swallows existing connections while new ones work.

--- /dev/null
+++ b/plugins/peer/websocket/websocket_test.go
@@ -0,0 +1,194 @@
+package websocket
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/fx/fxtest"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+	"gooseberrylane.example/test/faultproxy"
+)
+
+// note is a message of the tests.
+type note struct{ Text string }
+
+// MessageName implements kinds.Message.
+func (note) MessageName() string { return "note" }
+
+// testPeer is one VM with links; it passes on what it receives and which links end.
+type testPeer struct {
+	*peers
+	stop     func()
+	received chan string
+	down     chan kinds.LinkDown
+}
+
+func startPeer(c *qt.C, t *testing.T, name core.VMName, change func(*Settings)) *testPeer {
+	settings := &Settings{
+		Listen: "127.0.0.1:0", MaxFrameBytes: 1 << 20, QueueLength: 10_000, QueueBytes: 1 << 20, MaxLinks: 100, KeepaliveMS: 200,
+		IdleTimeoutMS: 60_000, BackoffMS: 60_000, MaxBackoffMS: 60_000,
+	}
+	if change != nil {
+		change(settings)
+	}
+	lc := fxtest.NewLifecycle(t)
+	p := params{
+		Identity: kernel.Identity{VM: name, Domain: "fd-1", Incarnation: 1}, State: kernel.NewState(), Clock: kernel.SystemClock{},
+		Random: kernel.NewRandom(1), Log: slog.New(slog.NewJSONHandler(io.Discard, nil)),
+	}
+	peer := &testPeer{peers: newPeers(lc, p, settings), received: make(chan string, 10_000), down: make(chan kinds.LinkDown, 10_000)}
+	peer.Handle(note{}, func(_ core.VM, m kinds.Message) { peer.received <- m.(*note).Text })
+	peer.OnLinkDown(func(down kinds.LinkDown) { peer.down <- down })
+	lc.RequireStart()
+	stopped := false
+	peer.stop = func() {
+		if !stopped {
+			stopped = true
+			lc.RequireStop()
+		}
+	}
+	c.Cleanup(peer.stop)
+	return peer
+}
+
+func (p *testPeer) vm() core.VM { return p.State.Load().Members.Self }
+
+// refusingAddress returns an address at which nothing listens.
+func refusingAddress(c *qt.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// TestFailedDialProvesThatNothingWasDelivered guards against requests that count as perhaps run although no byte left
+// the VM, and against a dial for each message to a dead VM.
+func TestFailedDialProvesThatNothingWasDelivered(t *testing.T) {
+	c := qt.New(t)
+	a := startPeer(c, t, "a", nil)
+	dead := core.VM{Name: "b", Incarnation: 1, PeerAddress: refusingAddress(c)}
+	c.Assert(a.Send(context.Background(), dead, note{"lost"}), qt.IsNil)
+	down := <-a.down
+	c.Check(down.Refused, qt.IsTrue)
+	c.Check(down.Written, qt.IsFalse)
+	c.Check(down.Undelivered, qt.DeepEquals, []kinds.Message{note{"lost"}})
+	// The back-off is a minute here, so nothing is dialed again.
+	for range 100 {
+		for a.Send(context.Background(), dead, note{"refused"}) == nil {
+			<-a.down
+		}
+	}
+	c.Check(a.down, qt.HasLen, 0)
+}
+
+// TestSilentLinkIsReplaced guards against messages that go into a link that carries nothing any more although new ones
+// would work.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	a, b := startPeer(c, t, "a", nil), startPeer(c, t, "b", nil)
+	proxy, err := faultproxy.Listen("127.0.0.1:0", b.vm().PeerAddress)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = proxy.Close() })
+	to := b.vm()
+	to.PeerAddress = proxy.Address()
+	c.Assert(a.Send(context.Background(), to, note{"before"}), qt.IsNil)
+	c.Assert(<-b.received, qt.Equals, "before")
+	proxy.Silence()
+	c.Assert(a.Send(context.Background(), to, note{"swallowed"}), qt.IsNil)
+	down := <-a.down
+	c.Check(down.Written, qt.IsTrue)
+	c.Check(down.Refused, qt.IsFalse)
+	c.Check(down.Unconfirmed[len(down.Unconfirmed)-1], qt.Equals, kinds.Message(note{"swallowed"}))
+	c.Assert(a.Send(context.Background(), to, note{"after"}), qt.IsNil)
+	c.Assert(<-b.received, qt.Equals, "after")
+}
+
+// TestLinkFollowsReplacedVM guards against messages to the old address of a replaced VM, and against messages to
+// another VM that listens at a reused address.
+func TestLinkFollowsReplacedVM(t *testing.T) {
+	c := qt.New(t)
+	a, old, replaced := startPeer(c, t, "a", nil), startPeer(c, t, "b", nil), startPeer(c, t, "b", nil)
+	c.Assert(a.Send(context.Background(), old.vm(), note{"old"}), qt.IsNil)
+	c.Assert(<-old.received, qt.Equals, "old")
+	next := replaced.vm()
+	next.Incarnation = 2
+	c.Assert(a.Send(context.Background(), next, note{"new"}), qt.IsNil)
+	c.Assert(<-replaced.received, qt.Equals, "new")
+	c.Check((<-a.down).VM.PeerAddress, qt.Equals, old.vm().PeerAddress)
+	// A sender that still knows the old incarnation reaches the new one as well.
+	c.Assert(a.Send(context.Background(), old.vm(), note{"late"}), qt.IsNil)
+	c.Assert(<-replaced.received, qt.Equals, "late")
+	other := core.VM{Name: "c", Incarnation: 1, PeerAddress: old.vm().PeerAddress}
+	c.Assert(a.Send(context.Background(), other, note{"misdirected"}), qt.IsNil)
+	down := <-a.down
+	c.Check(down.Undelivered, qt.DeepEquals, []kinds.Message{note{"misdirected"}})
+	c.Check(down.Written, qt.IsFalse)
+	c.Check(old.received, qt.HasLen, 0)
+}
+
+// TestStopWritesWhatIsQueued guards against results that are cut off by a planned stop.
+func TestStopWritesWhatIsQueued(t *testing.T) {
+	c := qt.New(t)
+	a, b := startPeer(c, t, "a", nil), startPeer(c, t, "b", nil)
+	const messages = 5000
+	for range messages {
+		c.Assert(a.Send(context.Background(), b.vm(), note{"result"}), qt.IsNil)
+	}
+	a.stop()
+	c.Check(b.received, qt.HasLen, messages)
+}
+
+// TestQueueIsBoundedInBytes guards against memory that grows without bound while a link does not take messages.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(100, 1000)
+	for range 10 {
+		c.Assert(q.push(&item{frame: make([]byte, 100)}), qt.Equals, pushed)
+	}
+	c.Assert(q.push(&item{frame: make([]byte, 100)}), qt.Equals, queueFull)
+	c.Assert(q.take(), qt.HasLen, 10)
+	c.Assert(q.push(&item{frame: make([]byte, 100)}), qt.Equals, pushed)
+	c.Assert(q.close(), qt.HasLen, 1)
+	c.Assert(q.push(&item{frame: make([]byte, 1)}), qt.Equals, queueClosed)
+	c.Assert(q.bytes.Load(), qt.Equals, int64(0))
+	c.Assert(q.length.Load(), qt.Equals, int64(0))
+}
+
+// TestInboundLinksAreBounded guards against memory that grows with the number of links that others open.
+func TestInboundLinksAreBounded(t *testing.T) {
+	c := qt.New(t)
+	b := startPeer(c, t, "b", func(s *Settings) { s.MaxLinks = 1 })
+	first, second := startPeer(c, t, "a", nil), startPeer(c, t, "c", nil)
+	c.Assert(first.Send(context.Background(), b.vm(), note{"first"}), qt.IsNil)
+	c.Assert(<-b.received, qt.Equals, "first")
+	c.Assert(second.Send(context.Background(), b.vm(), note{"second"}), qt.IsNil)
+	c.Check((<-second.down).Undelivered, qt.DeepEquals, []kinds.Message{note{"second"}})
+}
+
+// TestBackoffHasJitterAndABound guards against VMs that dial a returning VM all at once, and against endless waits.
+func TestBackoffHasJitterAndABound(t *testing.T) {
+	c := qt.New(t)
+	var b backoffs
+	b.init(&Settings{BackoffMS: 100, MaxBackoffMS: 2000}, kernel.NewRandom(1).Generator())
+	now := time.Unix(1000, 0)
+	pauses := make(map[time.Duration]bool)
+	for range 20 {
+		b.failed(now, "x")
+		pause := b.byAddress["x"].retryAt.Sub(now)
+		c.Assert(pause >= 50*time.Millisecond && pause <= 2*time.Second, qt.IsTrue)
+		c.Assert(b.allow(now, "x"), qt.IsFalse)
+		c.Assert(b.allow(now.Add(2*time.Second), "x"), qt.IsTrue)
+		pauses[pause] = true
+	}
+	c.Check(len(pauses) > 10, qt.IsTrue)
+	b.succeeded("x")
+	c.Check(b.allow(now, "x"), qt.IsTrue)
+}
