--- a/coord/membership/contact.go
+++ b/coord/membership/contact.go
@@ -19,6 +19,7 @@
 	for name, m := range t.members {
 		if !m.listed && now.Sub(m.seen()) >= t.settings.ForgetAfter+t.round() {
 			delete(t.members, name)
+			t.count(m, -1)
 		}
 	}
 }
@@ -85,14 +86,8 @@
 	if t.settings.Across <= 0 {
 		return 0
 	}
-	n := 0
-	for _, m := range t.members {
-		if m.vm.Domain != t.self.Domain {
-			n++
-		}
-	}
 	// The order differs from round to round, so two contacts can be almost two rounds apart.
-	return 2 * time.Duration(n/t.settings.Across+1) * t.settings.Period
+	return 2 * time.Duration(t.strangers/t.settings.Across+1) * t.settings.Period
 }
 
 // Known returns the members that this VM has heard itself and that are not gone, and the VM itself. Only these are
--- a/coord/membership/table.go
+++ b/coord/membership/table.go
@@ -63,8 +63,10 @@
 	self     core.VM
 	members  map[core.VMName]*member
 	// across holds the members of other failure domains that the current round has not contacted yet.
-	across   []core.VMName
-	lastTick time.Time
+	across []core.VMName
+	// strangers is the number of members of other failure domains.
+	strangers int
+	lastTick  time.Time
 	// listedAt is the time of the last platform list, zero before the first.
 	listedAt time.Time
 	// introduced is set once the platform's list names the VM itself.
@@ -121,7 +123,9 @@
 	if m == nil || vm.Incarnation > m.vm.Incarnation {
 		m = t.replace(now, m, vm)
 	}
+	t.count(m, -1)
 	m.vm.Domain, m.vm.PeerAddress = vm.Domain, vm.PeerAddress
+	t.count(m, 1)
 	m.heard, m.ended = now, false
 	// Leaving is final for an incarnation, so that a delayed message does not undo it.
 	m.leaving = m.leaving || vm.State == core.VMLeaving
@@ -133,12 +137,21 @@
 	m := &member{vm: vm, learned: now}
 	if old != nil {
 		m.listed = old.listed
+		t.count(old, -1)
 	}
+	t.count(m, 1)
 	m.leaving = vm.State == core.VMLeaving
 	t.members[vm.Name] = m
 	return m
 }
 
+// count adds a member to the strangers if it is one.
+func (t *Table) count(m *member, n int) {
+	if m.vm.Domain != t.self.Domain {
+		t.strangers += n
+	}
+}
+
 // Acknowledged records that a member answered a heartbeat that this VM sent at the given time.
 func (t *Table) Acknowledged(name core.VMName, sent time.Time) {
 	if m := t.members[name]; m != nil && sent.After(m.acked) {
--- a/test/membership/membership_test.go
+++ b/test/membership/membership_test.go
@@ -2,12 +2,14 @@
 package membership
 
 import (
+	"net"
 	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"gooseberrylane.example/standins/deployment"
+	"gooseberrylane.example/test/faultproxy"
 	"gooseberrylane.example/test/harness"
 )
 
@@ -97,6 +99,51 @@
 	c.Assert(cl.MustAsk(cl.VMs[0], query("one-owner")).Name, qt.Equals, "ok")
 }
 
+// TestSilentLinkBetweenVMsIsReplaced guards against two VMs that stay cut off from each other because something between
+// them lost track of their connections, although new ones would work.
+func TestSilentLinkBetweenVMsIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	var proxy *faultproxy.Proxy
+	cl := start(c, 6, func(vm *harness.VM, settings *deployment.Settings) {
+		withHeartbeats(vm, settings)
+		if vm.Name != "vm-1" {
+			return
+		}
+		host, _, err := net.SplitHostPort(vm.Peer)
+		c.Assert(err, qt.IsNil)
+		proxy, err = faultproxy.Listen(net.JoinHostPort(host, "7105"), vm.Peer)
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = proxy.Close() })
+		settings.Set("peer", "websocket", map[string]any{"listen": vm.Peer, "advertise": proxy.Address(), "idle_timeout_ms": 2000})
+	})
+	cl.VMs[0].Peer = proxy.Address()
+	list(cl, cl.VMs)
+	cl.WaitFor("the address of the proxy", func() bool { return addressOf(cl.VMs[3], cl.VMs[0]) == proxy.Address() })
+	cl.WaitFor("links through the proxy", func() bool { return proxy.Counts().Connections >= 5 })
+	before := proxy.Counts().Connections
+	proxy.Silence()
+	cl.WaitFor("new links", func() bool { return proxy.Counts().Connections >= before+5 })
+	cl.WaitFor("one owner for each upstream", func() bool { return owners(cl, cl.VMs) != nil })
+	for _, vm := range cl.VMs {
+		cl.WaitFor("whole answers at "+vm.Name, func() bool { return cl.MustAsk(vm, query("silent-"+vm.Name)).Name == "ok" })
+	}
+	c.Check(total(cl, overSlots), qt.Equals, uint64(0))
+}
+
+// addressOf returns the address of a member as another VM knows it.
+func addressOf(at, member *harness.VM) string {
+	s, err := status(at)
+	if err != nil {
+		return ""
+	}
+	for _, m := range s.Members {
+		if string(m.Name) == member.Name {
+			return m.PeerAddress
+		}
+	}
+	return ""
+}
+
 // stateOf returns the state of a member as another VM sees it.
 func stateOf(at, member *harness.VM) string {
 	s, err := status(at)
