Hear a VM again whose clock was set back before it started

Its incarnation was lower than the known one, so it was ignored for as long as the platform listed it. It is now told the known incarnation and takes a higher one. A VM that the configuration sets ready before it knows its members is set not ready at once instead of at the next tick.

--- a/coord/ownership/agent.go
+++ b/coord/ownership/agent.go
@@ -146,9 +146,12 @@
 func (g *Agent) Receive(now time.Time, message any) Actions {
 	a := g.wake(now)
 	from, ok := sender(message)
-	if !ok || !g.table.Hear(now, from) {
+	if !ok {
 		return a
 	}
+	if !g.table.Hear(now, from) {
+		return a.join(g.tellNewer(now, message))
+	}
 	if g.farewell != nil {
 		return a.join(g.receiveAfterLeave(message))
 	}
@@ -173,6 +176,21 @@
 	return a
 }
 
+// tellNewer answers a heartbeat of a lower incarnation with the incarnation that this VM knows. The process that sent it
+// may have started after the clock of its machine was set back; it would be ignored for good otherwise.
+func (g *Agent) tellNewer(now time.Time, message any) Actions {
+	var a Actions
+	m, ok := message.(Heartbeat)
+	if !ok {
+		return a
+	}
+	known, ok := g.table.Find(now, m.From.Name)
+	if ok && known.Incarnation > m.From.Incarnation {
+		a.send(m.From, HeartbeatAck{From: g.table.Self(), To: m.From.Incarnation, Known: []core.VM{known}})
+	}
+	return a
+}
+
 func sender(message any) (core.VM, bool) {
 	switch m := message.(type) {
 	case Heartbeat:
@@ -221,10 +239,14 @@
 	if m.To != g.table.Self().Incarnation {
 		return a
 	}
-	g.table.Acknowledged(m.From.Name, g.base.Add(time.Duration(m.Sent)))
 	for _, vm := range m.Known {
+		if self := g.table.Self(); vm.Name == self.Name && vm.Incarnation > self.Incarnation {
+			g.table.Restart(vm.Incarnation + 1)
+			return a.join(g.machine.Paused())
+		}
 		g.table.Learn(now, vm)
 	}
+	g.table.Acknowledged(m.From.Name, g.base.Add(time.Duration(m.Sent)))
 	if m.WantHoldings {
 		a.send(m.From, g.machine.Holdings())
 	}
--- a/coord/ownership/agent_test.go
+++ b/coord/ownership/agent_test.go
@@ -176,3 +176,25 @@
 	c.Assert(told, qt.HasLen, 1)
 	c.Check(told[0].Name, qt.Equals, first.Name)
 }
+
+// TestProcessWithAnOlderClockIsHeardAgain guards against a VM that is ignored for good because the clock of its machine
+// was set back before its process started again.
+func TestProcessWithAnOlderClockIsHeardAgain(t *testing.T) {
+	c := qt.New(t)
+	x := newExchange(5, 6)
+	for _, name := range []core.VMName{"a", "b", "c"} {
+		x.start(name)
+	}
+	x.heal()
+	x.runFor(quiet)
+	known := x.find("a").agent.Table().Self().Incarnation
+	x.find("a").dead = true
+	x.incarnationBack = time.Hour
+	a := x.start("a", "b", "c")
+	c.Assert(a.agent.Table().Self().Incarnation < known, qt.IsTrue)
+	x.relist()
+	x.runFor(quiet)
+	c.Check(a.agent.Table().Self().Incarnation > known, qt.IsTrue)
+	c.Check(exactlyOneHolder(x), qt.Equals, "")
+	c.Check(x.fault, qt.Equals, "")
+}
--- a/coord/ownership/fake_test.go
+++ b/coord/ownership/fake_test.go
@@ -71,6 +71,8 @@
 	contacts map[pair]contact
 	fault    string
 	moves    int
+	// incarnationBack is how far the clock that incarnations come from is behind.
+	incarnationBack time.Duration
 }
 
 func newExchange(seed uint64, upstreams int) *exchange {
@@ -105,7 +107,7 @@
 // start begins a VM that knows the given VMs from its platform list.
 func (x *exchange) start(name core.VMName, known ...core.VMName) *node {
 	n := &node{name: name, address: fmt.Sprintf("%s/%d", name, x.order), inFlight: make(map[core.UpstreamID]bool)}
-	self := core.VM{Name: name, Incarnation: core.Incarnation(x.now.UnixNano()), Domain: domain, PeerAddress: n.address}
+	self := core.VM{Name: name, Incarnation: core.Incarnation(x.now.Add(-x.incarnationBack).UnixNano()), Domain: domain, PeerAddress: n.address}
 	seed := x.random.Uint64()
 	n.agent = ownership.NewAgent(membership.Defaults(), ownership.Defaults(), self, core.NewHold(x.now), rand.New(rand.NewPCG(seed, 1)), x.now)
 	x.nodes = append(x.nodes, n)
--- a/plugins/membership/heartbeat/heartbeat.go
+++ b/plugins/membership/heartbeat/heartbeat.go
@@ -123,6 +123,10 @@
 		case <-ticker.C:
 			s.perform(s.agent.Tick(s.Clock.Now()), true)
 		case <-changed:
+			// The configuration may have set the VM ready before it knows its members.
+			if s.State.Load().Ready != (s.settled && !s.leaving) {
+				s.publish(false)
+			}
 		case <-s.base.Done():
 			return
 		}
