--- /dev/null
+++ b/plugins/dispatch/owner/owner_test.go
@@ -0,0 +1,155 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/fx/fxtest"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+type sent struct {
+	to core.VMName
+	m  kinds.Message
+}
+
+// fakePeers passes on what is sent.
+type fakePeers struct{ out chan sent }
+
+func (f fakePeers) Send(_ context.Context, to core.VM, m kinds.Message) error {
+	f.out <- sent{to.Name, m}
+	return nil
+}
+func (fakePeers) Handle(kinds.Message, func(core.VM, kinds.Message)) {}
+func (fakePeers) OnLinkDown(func(kinds.LinkDown))                    {}
+
+// fakeExecutor answers with the believed owner until the view says that this VM holds the upstream.
+type fakeExecutor struct{ state *kernel.State }
+
+func (f fakeExecutor) Execute(_ context.Context, leg core.Leg) core.LegResult {
+	ownership := f.state.Load().Ownership
+	if ownership.Held[leg.Upstream] {
+		return core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeRan, Code: core.CodeOK}
+	}
+	return core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeNotOwner, Owner: ownership.Owner[leg.Upstream]}
+}
+func (fakeExecutor) Release(context.Context, core.UpstreamID) error { return nil }
+
+type testDispatcher struct {
+	*dispatcher
+	out     chan sent
+	results chan core.LegResult
+}
+
+func newTestDispatcher(t *testing.T) *testDispatcher {
+	state := kernel.NewState()
+	state.Update(func(v *core.View) {
+		v.Members = &core.Members{All: []core.VM{{Name: "self"}, {Name: "old"}, {Name: "new"}}}
+		v.Ownership = &core.Ownership{Owner: map[core.UpstreamID]core.VMName{"u": "old"}}
+	})
+	out := make(chan sent, 100)
+	p := params{
+		State: state, Identity: kernel.Identity{VM: "self", Incarnation: 7}, Clock: kernel.SystemClock{},
+		Executor: fakeExecutor{state}, Peers: fakePeers{out},
+	}
+	settings := &Settings{MoveWaitMS: 60_000, MaxFollows: 4, HintMS: 60_000}
+	d := newDispatcher(fxtest.NewLifecycle(t), p, settings).(*dispatcher)
+	return &testDispatcher{dispatcher: d, out: out, results: make(chan core.LegResult, 100)}
+}
+
+func (d *testDispatcher) send(sequence uint64) {
+	leg := core.Leg{
+		Attempt: core.AttemptID{VM: "self", Incarnation: 7, Sequence: sequence}, Upstream: "u", Version: 1, NotAfter: time.Now().Add(time.Hour),
+	}
+	d.Send(context.Background(), []core.Leg{leg}, func(r core.LegResult) { d.results <- r })
+}
+
+func (d *testDispatcher) answer(sequence uint64, r core.LegResult) {
+	r.Attempt.Sequence = sequence
+	d.onResults(core.VM{}, &resultsMessage{Started: 7, Results: []wireResult{encodeResult(r)}})
+}
+
+func refusal(owner core.VMName) core.LegResult {
+	return core.LegResult{Outcome: core.OutcomeNotRun, Code: core.CodeNotOwner, Owner: owner}
+}
+
+// TestSubRequestFollowsTheHint guards against queries that fail, or spend their retries, because an upstream moves; and
+// against later sub-requests that go on to ask a VM that has begun to leave.
+func TestSubRequestFollowsTheHint(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(t)
+	d.send(1)
+	c.Assert((<-d.out).to, qt.Equals, core.VMName("old"))
+	d.answer(1, refusal("new"))
+	c.Assert((<-d.out).to, qt.Equals, core.VMName("new"))
+	d.answer(1, core.LegResult{Outcome: core.OutcomeRan, Code: core.CodeOK})
+	c.Assert((<-d.results).Code, qt.Equals, core.CodeOK)
+	d.send(2)
+	c.Assert((<-d.out).to, qt.Equals, core.VMName("new"))
+	d.State.Update(func(v *core.View) {
+		v.Members = &core.Members{All: []core.VM{{Name: "self"}, {Name: "old"}, {Name: "new", State: core.VMLeaving}}}
+	})
+	d.send(3)
+	c.Assert((<-d.out).to, qt.Equals, core.VMName("old"))
+}
+
+// TestFollowingEnds guards against a sub-request that two VMs with different beliefs send to each other for ever.
+func TestFollowingEnds(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(t)
+	d.send(1)
+	asked := 0
+	for len(d.results) == 0 {
+		asked++
+		other := core.VMName("new")
+		if (<-d.out).to == "new" {
+			other = "old"
+		}
+		d.answer(1, refusal(other))
+	}
+	c.Check(asked, qt.Equals, 1+d.settings.MaxFollows)
+	result := <-d.results
+	c.Check(result.Code, qt.Equals, core.CodeNotOwner)
+	c.Check(result.Outcome, qt.Equals, core.OutcomeNotRun)
+}
+
+// TestSubRequestWaitsWhileThisVMTakesOver guards against a refusal by the VM that is about to hold the upstream.
+func TestSubRequestWaitsWhileThisVMTakesOver(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(t)
+	own := map[core.UpstreamID]core.VMName{"u": "self"}
+	d.State.Update(func(v *core.View) { v.Ownership = &core.Ownership{Owner: own} })
+	d.send(1)
+	d.State.Update(func(v *core.View) {
+		v.Ownership = &core.Ownership{Owner: own, Held: map[core.UpstreamID]bool{"u": true}}
+	})
+	c.Assert((<-d.results).Code, qt.Equals, core.CodeOK)
+}
+
+// TestEndOfALinkTellsWhatMayHaveRun guards against an outcome not_run for what was written to a link, an outcome unknown
+// for what was not, and results that are lost with a link.
+func TestEndOfALinkTellsWhatMayHaveRun(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(t)
+	d.send(1)
+	<-d.out
+	d.send(2)
+	waiting := (<-d.out).m
+	answer := resultsMessage{Started: 9}
+	d.onLinkDown(kinds.LinkDown{
+		VM: core.VM{Name: "old"}, Written: true, Undelivered: []kinds.Message{waiting}, Unconfirmed: []kinds.Message{answer},
+	})
+	notRun, unknown := <-d.results, <-d.results
+	c.Check(notRun.Attempt.Sequence, qt.Equals, uint64(2))
+	c.Check(notRun.Outcome, qt.Equals, core.OutcomeNotRun)
+	c.Check(unknown.Attempt.Sequence, qt.Equals, uint64(1))
+	c.Check(unknown.Outcome, qt.Equals, core.OutcomeUnknown)
+	again := <-d.out
+	c.Check(again.to, qt.Equals, core.VMName("old"))
+	c.Check(again.m.MessageName(), qt.Equals, answer.MessageName())
+}
