Do not answer a history that may lack its end, and set Ready with the ownership

While the client of the platform refused calls after failures, History answered from the changes that the VM kept, which can lack the last ones, and nothing in the answer said so. It now answers platform_unavailable.

Cause 2: the heartbeat membership decides Ready from the revision in force, the settled ownership and leaving. The configuration set Ready as well, at a moment when no owner is known, so that a VM could be ready for a moment and report every shard as unreachable. Now only the membership writes Ready, together with the ownership, and never before a configuration is in force. Check proved: with Ready set regardless of the revision in the static membership, TestVMAloneStaysNotReady fails.

--- a/plugins/configuration/log/apply.go
+++ b/plugins/configuration/log/apply.go
@@ -64,14 +64,9 @@
 	s.publishSet()
 }
 
-func (s *service) publishSet() {
-	first := s.State.Load().Config.Revision == 0
-	s.State.SetConfig(s.log.Set())
-	// Later updates leave Ready alone: a VM that stops must not become ready again.
-	if first {
-		s.State.Update(func(v *core.View) { v.Ready = true })
-	}
-}
+// publishSet puts the set of the log in force. From the first set on, the membership makes the VM ready as soon as the
+// ownership of the upstreams is known.
+func (s *service) publishSet() { s.State.SetConfig(s.log.Set()) }
 
 // logApplied writes the line from which reverts and torn sets can be checked: revisions only grow, and a revision has
 // the same digest on every VM.
--- a/plugins/configuration/log/operations.go
+++ b/plugins/configuration/log/operations.go
@@ -189,15 +189,15 @@
 	}
 }
 
-// History implements kinds.Operations. When the platform does not answer, the changes that this VM keeps are returned
-// if they begin early enough.
+// History implements kinds.Operations. It reads the platform only: what this VM keeps may lack the last changes, and the
+// answer could not say so.
 func (s *service) History(ctx context.Context, after core.Revision, limit int) ([]config.Change, error) {
 	var changes []config.Change
 	for len(changes) < limit {
 		want := min(listLimit, limit-len(changes))
 		objects, err := s.Platform.List(ctx, changesPrefix, changeKey(after), want)
 		if err != nil {
-			return s.keptHistory(after, limit, changes, err)
+			return nil, err
 		}
 		page := s.decodeListed(objects)
 		if len(page) < len(objects) {
@@ -211,13 +211,3 @@
 	}
 	return changes, nil
 }
-
-func (s *service) keptHistory(after core.Revision, limit int, found []config.Change, cause error) ([]config.Change, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	kept, ok := s.log.Since(after, limit-len(found))
-	if !ok {
-		return nil, cause
-	}
-	return append(found, kept...), nil
-}
--- a/plugins/configuration/static/static.go
+++ b/plugins/configuration/static/static.go
@@ -33,7 +33,6 @@
 		set.Services[service.Name] = service
 	}
 	state.SetConfig(set.Index())
-	state.Update(func(v *core.View) { v.Ready = true })
 	return &configuration{state: state}
 }
 
--- a/plugins/membership/static/static.go
+++ b/plugins/membership/static/static.go
@@ -98,6 +98,8 @@
 		}
 		v.Members = &core.Members{Self: self, All: all}
 		v.Ownership = ownership.Assign(v.Config, v.Members)
+		// Ready together with the ownership: a VM that is ready without one reports every shard as unreachable.
+		v.Ready = v.Config.Revision > 0
 	})
 }
 
--- a/test/configuration/cluster_test.go
+++ b/test/configuration/cluster_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -177,6 +178,30 @@
 	return change
 }
 
+// retryPause is the time between two calls while the client of the platform refuses calls after failures.
+const retryPause = 5 * time.Millisecond
+
+// available repeats a call until the platform is available.
+func available[T any](ctx context.Context, call func() (T, error)) (T, error) {
+	for {
+		value, err := call()
+		if codeOf(err) != core.CodePlatformUnavailable || ctx.Err() != nil {
+			return value, err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// history returns the whole history.
+func (cl *cluster) history() []config.Change {
+	cl.c.Helper()
+	history, err := available(cl.ctx, func() ([]config.Change, error) {
+		return cl.vms[0].operations.History(cl.ctx, 0, math.MaxInt)
+	})
+	cl.c.Assert(err, qt.IsNil)
+	return history
+}
+
 // lines collects log lines.
 type lines struct {
 	mu      sync.Mutex
