--- a/bench/record.go
+++ b/bench/record.go
@@ -48,6 +48,8 @@
 	asked, sentShards, covered, named, unsent uint64
 	reachable, reachableCovered               uint64
 	samples                                   []string
+	// reasons counts the codes of missing shards and of refusals.
+	reasons map[string]uint64
 
 	writes                                        map[string][]*answer
 	writesSent                                    uint64
@@ -60,7 +62,7 @@
 
 func newSideRecord() *sideRecord {
 	return &sideRecord{
-		services: make(map[core.ServiceName]*serviceRecord), writes: make(map[string][]*answer),
+		services: make(map[core.ServiceName]*serviceRecord), reasons: make(map[string]uint64), writes: make(map[string][]*answer),
 		all: newHistogram(), fanOut: newHistogram(), lookUp: newHistogram(), settled: newHistogram(),
 	}
 }
@@ -135,6 +137,12 @@
 }
 
 func (r *sideRecord) judge(o *outcome, v *verdict) {
+	if o.answer.refused() {
+		r.reasons["refused:"+o.answer.Name]++
+	}
+	for _, m := range o.answer.Missing {
+		r.reasons["missing:"+m.Reason]++
+	}
 	if v.mixed {
 		r.mixed++
 	}
--- a/bench/report.go
+++ b/bench/report.go
@@ -34,6 +34,8 @@
 	// Goodput holds, for each overloaded service and side, the complete answers within the deadline as a part of the
 	// capacity.
 	Goodput map[string]map[string]float64 `json:"goodput,omitempty"`
+	// Reasons counts, for each side, the codes of missing shards and of refusals.
+	Reasons map[string]map[string]uint64 `json:"reasons,omitempty"`
 	// Faults are examples of wrong answers.
 	Faults map[string][]string `json:"faults,omitempty"`
 }
@@ -55,6 +57,7 @@
 	r := &report{
 		Deployment: o.deployment, Scenario: name, Seed: o.seed, Rate: o.rate, DurationMS: o.duration.Milliseconds(), VMs: o.vms,
 		Commit: o.commit, Faults: make(map[string][]string), Goodput: make(map[string]map[string]float64),
+		Reasons: make(map[string]map[string]uint64),
 	}
 	for i, s := range c.sides {
 		if s == nil {
@@ -67,6 +70,7 @@
 			f["goodput"] = lowest(goodput)
 		}
 		f["top_class_in_deadline"] = topClassInDeadline(c.plan, s.record)
+		r.Reasons[contenders[i].name] = s.record.reasons
 		if len(s.record.samples) > 0 {
 			r.Faults[contenders[i].name] = s.record.samples
 		}
@@ -192,7 +196,13 @@
 		}
 		fmt.Fprintf(table, "%s\t%.6g\t%.6g\t%s\t\n", name, r.Baseline[name], r.Current[name], ratio)
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, s := range r.Sides {
+		fmt.Fprintf(w, "%s: reasons %v, examples of wrong answers %v\n", s.Name, r.Reasons[s.Name], r.Faults[s.Name])
+	}
+	return nil
 }
 
 // fields returns the names of all fields, the main ones first.
