Measure the latency of queries whose shards were all in reach

The bound on partitions is about what can be reached. The p99 of all queries also counted those that named shards beyond the cut, which wait for their deadline.

--- a/bench/record.go
+++ b/bench/record.go
@@ -37,8 +37,8 @@
 	mu       sync.Mutex
 	services map[core.ServiceName]*serviceRecord
 
-	all, fanOut, lookUp, settled *hdrhistogram.Histogram
-	measured                     time.Duration
+	all, fanOut, lookUp, settled, reached *hdrhistogram.Histogram
+	measured                              time.Duration
 
 	queries, answered, refused, noAnswer, notSent, cutOff, resent uint64
 	complete, inDeadline                                          uint64
@@ -63,7 +63,7 @@
 func newSideRecord() *sideRecord {
 	return &sideRecord{
 		services: make(map[core.ServiceName]*serviceRecord), reasons: make(map[string]uint64), writes: make(map[string][]*answer),
-		all: newHistogram(), fanOut: newHistogram(), lookUp: newHistogram(), settled: newHistogram(),
+		all: newHistogram(), fanOut: newHistogram(), lookUp: newHistogram(), settled: newHistogram(), reached: newHistogram(),
 	}
 }
 
@@ -94,6 +94,7 @@
 		r.inDeadline++
 		s.inDeadline++
 	}
+	reached := o.answer != nil && r.observeReach(o, service)
 	if o.answer != nil && o.answer.refused() {
 		return
 	}
@@ -106,6 +107,9 @@
 	if settled {
 		record(r.settled, o.took)
 	}
+	if settled && reached {
+		record(r.reached, o.took)
+	}
 }
 
 // observeAnswer checks the answer to an idempotent query and reports whether it was complete within its deadline.
@@ -122,7 +126,6 @@
 	r.asked += uint64(v.asked)
 	r.covered += uint64(v.covered)
 	r.named += uint64(v.named)
-	r.observeReach(o, service)
 	if o.answer.refused() {
 		r.refused++
 		r.unsent += uint64(v.asked)
@@ -158,8 +161,10 @@
 	}
 }
 
-// observeReach counts the shards that the entry VM could reach for the whole time of the query.
-func (r *sideRecord) observeReach(o *outcome, service *core.Service) {
+// observeReach counts the shards that the entry VM could reach for the whole time of the query, and reports whether it
+// could reach all.
+func (r *sideRecord) observeReach(o *outcome, service *core.Service) (all bool) {
+	all = true
 	covered := make(map[core.ShardName]bool, len(o.answer.Covered))
 	for i := range o.answer.Covered {
 		covered[o.answer.Covered[i].Shard] = true
@@ -170,7 +175,11 @@
 	}
 	expected := expectedShards(o.query, service, o.answer.Snapshot)
 	for _, shard := range layout.Shards {
-		if !expected[shard.Name] || !reachable(o, service.Group(shard.Group)) {
+		if !expected[shard.Name] {
+			continue
+		}
+		if !reachable(o, service.Group(shard.Group)) {
+			all = false
 			continue
 		}
 		r.reachable++
@@ -178,6 +187,7 @@
 			r.reachableCovered++
 		}
 	}
+	return all
 }
 
 func reachable(o *outcome, group *core.Group) bool {
--- a/bench/report.go
+++ b/bench/report.go
@@ -147,7 +147,7 @@
 	defer r.mu.Unlock()
 	f := figures{
 		"p50_ms": quantileMS(r.all, 50), "p99_ms": quantileMS(r.all, 99), "p999_ms": quantileMS(r.all, 99.9),
-		"p99_settled_ms": quantileMS(r.settled, 99), "p99_fan_out_ms": quantileMS(r.fanOut, 99), "p99_look_up_ms": quantileMS(r.lookUp, 99),
+		"p99_settled_ms": quantileMS(r.settled, 99), "p99_reachable_ms": quantileMS(r.reached, 99), "p99_fan_out_ms": quantileMS(r.fanOut, 99), "p99_look_up_ms": quantileMS(r.lookUp, 99),
 		"complete_fraction": fraction(r.complete, r.queries), "in_deadline_fraction": fraction(r.inDeadline, r.queries),
 		"coverage": fraction(r.covered, r.asked), "coverage_reachable": fraction(r.reachableCovered, r.reachable),
 		"unnamed":       float64(r.asked - r.covered - r.named - r.unsent),
