--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -133,7 +133,7 @@
 		for domain := range domainCount {
 			o.reach[0][domain], o.reach[1][domain] = true, true
 		}
-		r.observe(&o, service, i >= 50)
+		r.observe(&o, service, i >= 50, 60*time.Millisecond)
 	}
 	r.addCounts(map[string]upstream.Counts{"a": {Received: 50}}, map[string]upstream.Counts{"a": {Received: 50 + 3060, OverSlots: 2}})
 	f := r.figures()
@@ -147,6 +147,8 @@
 	c.Check(f["wrong_answers"], qt.Equals, 0.0, qt.Commentf("%v", r.samples))
 	c.Check(f["extra_load"] > 0.0199 && f["extra_load"] < 0.0201, qt.IsTrue)
 	c.Check(r.settled.TotalCount(), qt.Equals, int64(50))
+	c.Check(r.services[service.Name].inDeadline, qt.Equals, uint64(99))
+	c.Check(r.services[service.Name].inSlice, qt.Equals, uint64(59))
 }
 
 // TestEveryScenarioOfTheTargets guards against a scenario that is named in the targets but not linked, and against
--- a/bench/record.go
+++ b/bench/record.go
@@ -30,6 +30,9 @@
 // serviceRecord is what one side did for one service.
 type serviceRecord struct {
 	offered, inDeadline uint64
+	// inSlice counts those of inDeadline that also ended within the measured time. Answers of the queues that are left
+	// after it would make the goodput higher than the capacity.
+	inSlice uint64
 }
 
 // sideRecord collects what one side did over all its slices.
@@ -67,8 +70,8 @@
 	}
 }
 
-// observe adds the outcome of one query. settled is false in the time in which a fault may still show.
-func (r *sideRecord) observe(o *outcome, service *core.Service, settled bool) {
+// observe adds the outcome of one query of a slice. settled is false in the time in which a fault may still show.
+func (r *sideRecord) observe(o *outcome, service *core.Service, settled bool, slice time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.services[service.Name]
@@ -93,6 +96,9 @@
 	if r.observeAnswer(o, service) {
 		r.inDeadline++
 		s.inDeadline++
+		if o.query.at+o.took <= slice {
+			s.inSlice++
+		}
 	}
 	reached := o.answer != nil && r.observeReach(o, service)
 	if o.answer != nil && o.answer.refused() {
--- a/bench/report.go
+++ b/bench/report.go
@@ -111,7 +111,7 @@
 	for name, capacity := range p.capacity {
 		s := r.services[serviceOf(p.deployment, core.ServiceName(name)).Name]
 		if s != nil && r.measured > 0 {
-			goodput[name] = float64(s.inDeadline) / r.measured.Seconds() / capacity
+			goodput[name] = float64(s.inSlice) / r.measured.Seconds() / capacity
 		}
 	}
 	return goodput
--- a/bench/run.go
+++ b/bench/run.go
@@ -221,7 +221,7 @@
 	}
 	notSent := s.caller.run(ctx, arrivals, func(o outcome) {
 		service := serviceOf(c.plan.deployment, core.ServiceName(o.query.service))
-		s.record.observe(&o, service, st.settled(o.query.at))
+		s.record.observe(&o, service, st.settled(o.query.at), st.length)
 	})
 	s.record.notSent += uint64(notSent)
 	var errs []error
--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -208,7 +208,7 @@
 	}
 	record := newSideRecord()
 	service := serviceOf(b.world.deployment, st.service)
-	b.caller.run(ctx, arrivals, func(o outcome) { record.observe(&o, service, true) })
+	b.caller.run(ctx, arrivals, func(o outcome) { record.observe(&o, service, true, slopeLoad) })
 	if _, err := b.world.awaitQuiet(ctx); err != nil {
 		return nil, err
 	}
--- a/bench/slopes_series.go
+++ b/bench/slopes_series.go
@@ -160,7 +160,7 @@
 	}
 	record := newSideRecord()
 	service := serviceOf(w.deployment, st.service)
-	s.caller.run(ctx, arrivals, func(o outcome) { record.observe(&o, service, true) })
+	s.caller.run(ctx, arrivals, func(o outcome) { record.observe(&o, service, true, slopeLoad) })
 	after, err := s.process.usage()
 	if err != nil {
 		return nil, err
