--- a/bench/record.go
+++ b/bench/record.go
@@ -30,6 +30,9 @@
 // serviceRecord is what one side did for one service.
 type serviceRecord struct {
 	offered, inDeadline uint64
+	// inSlice counts those of inDeadline that also ended within the measured time. Answers of the queues that are left
+	// after it would make the goodput higher than the capacity.
+	inSlice uint64
 }
 
 // sideRecord collects what one side did over all its slices.
@@ -37,8 +40,8 @@
 	mu       sync.Mutex
 	services map[core.ServiceName]*serviceRecord
 
-	all, fanOut, lookUp, settled *hdrhistogram.Histogram
-	measured                     time.Duration
+	all, fanOut, lookUp, settled, reached *hdrhistogram.Histogram
+	measured                              time.Duration
 
 	queries, answered, refused, noAnswer, notSent, cutOff, resent uint64
 	complete, inDeadline                                          uint64
@@ -48,6 +51,8 @@
 	asked, sentShards, covered, named, unsent uint64
 	reachable, reachableCovered               uint64
 	samples                                   []string
+	// reasons counts the codes of missing shards and of refusals.
+	reasons map[string]uint64
 
 	writes                                        map[string][]*answer
 	writesSent                                    uint64
@@ -60,13 +65,13 @@
 
 func newSideRecord() *sideRecord {
 	return &sideRecord{
-		services: make(map[core.ServiceName]*serviceRecord), writes: make(map[string][]*answer),
-		all: newHistogram(), fanOut: newHistogram(), lookUp: newHistogram(), settled: newHistogram(),
+		services: make(map[core.ServiceName]*serviceRecord), reasons: make(map[string]uint64), writes: make(map[string][]*answer),
+		all: newHistogram(), fanOut: newHistogram(), lookUp: newHistogram(), settled: newHistogram(), reached: newHistogram(),
 	}
 }
 
-// observe adds the outcome of one query. settled is false in the time in which a fault may still show.
-func (r *sideRecord) observe(o *outcome, service *core.Service, settled bool) {
+// observe adds the outcome of one query of a slice. settled is false in the time in which a fault may still show.
+func (r *sideRecord) observe(o *outcome, service *core.Service, settled bool, slice time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.services[service.Name]
@@ -91,7 +96,11 @@
 	if r.observeAnswer(o, service) {
 		r.inDeadline++
 		s.inDeadline++
+		if o.query.at+o.took <= slice {
+			s.inSlice++
+		}
 	}
+	reached := o.answer != nil && r.observeReach(o, service)
 	if o.answer != nil && o.answer.refused() {
 		return
 	}
@@ -104,6 +113,9 @@
 	if settled {
 		record(r.settled, o.took)
 	}
+	if settled && reached {
+		record(r.reached, o.took)
+	}
 }
 
 // observeAnswer checks the answer to an idempotent query and reports whether it was complete within its deadline.
@@ -120,7 +132,6 @@
 	r.asked += uint64(v.asked)
 	r.covered += uint64(v.covered)
 	r.named += uint64(v.named)
-	r.observeReach(o, service)
 	if o.answer.refused() {
 		r.refused++
 		r.unsent += uint64(v.asked)
@@ -135,6 +146,12 @@
 }
 
 func (r *sideRecord) judge(o *outcome, v *verdict) {
+	if o.answer.refused() {
+		r.reasons["refused:"+o.answer.Name]++
+	}
+	for _, m := range o.answer.Missing {
+		r.reasons["missing:"+m.Reason]++
+	}
 	if v.mixed {
 		r.mixed++
 	}
@@ -150,8 +167,10 @@
 	}
 }
 
-// observeReach counts the shards that the entry VM could reach for the whole time of the query.
-func (r *sideRecord) observeReach(o *outcome, service *core.Service) {
+// observeReach counts the shards that the entry VM could reach for the whole time of the query, and reports whether it
+// could reach all.
+func (r *sideRecord) observeReach(o *outcome, service *core.Service) (all bool) {
+	all = true
 	covered := make(map[core.ShardName]bool, len(o.answer.Covered))
 	for i := range o.answer.Covered {
 		covered[o.answer.Covered[i].Shard] = true
@@ -162,7 +181,11 @@
 	}
 	expected := expectedShards(o.query, service, o.answer.Snapshot)
 	for _, shard := range layout.Shards {
-		if !expected[shard.Name] || !reachable(o, service.Group(shard.Group)) {
+		if !expected[shard.Name] {
+			continue
+		}
+		if !reachable(o, service.Group(shard.Group)) {
+			all = false
 			continue
 		}
 		r.reachable++
@@ -170,6 +193,7 @@
 			r.reachableCovered++
 		}
 	}
+	return all
 }
 
 func reachable(o *outcome, group *core.Group) bool {
