Test that a caller that goes away cancels the work at the upstreams

Cause: nothing proved that the cancellation of a caller reaches the upstreams through two VMs. The stand-in now tells cancellations from deadlines that passed.

--- a/standins/upstream/handlers.go
+++ b/standins/upstream/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -76,7 +77,12 @@
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
-		s.count(func(c *Counts) { c.Cancelled++ })
+		s.count(func(c *Counts) {
+			c.Cancelled++
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				c.CancelledByDeadline++
+			}
+		})
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
--- a/standins/upstream/upstream.go
+++ b/standins/upstream/upstream.go
@@ -63,18 +63,20 @@
 	// OverSlots counts requests that arrived while every slot was taken.
 	OverSlots uint64 `json:"over_slots"`
 	// Misrouted counts requests that name another upstream.
-	Misrouted        uint64 `json:"misrouted"`
-	Received         uint64 `json:"received"`
-	Begun            uint64 `json:"begun"`
-	Finished         uint64 `json:"finished"`
-	Cancelled        uint64 `json:"cancelled"`
-	Shed             uint64 `json:"shed"`
-	Expired          uint64 `json:"expired"`
-	VersionMissing   uint64 `json:"version_missing"`
-	RefusedDraining  uint64 `json:"refused_draining"`
-	LateAfterDrain   uint64 `json:"late_after_drain"`
-	DoubledRequests  uint64 `json:"doubled_requests"`
-	NonIdempotentRun uint64 `json:"non_idempotent_run"`
+	Misrouted uint64 `json:"misrouted"`
+	Received  uint64 `json:"received"`
+	Begun     uint64 `json:"begun"`
+	Finished  uint64 `json:"finished"`
+	Cancelled uint64 `json:"cancelled"`
+	// CancelledByDeadline counts those of Cancelled that their deadline ended.
+	CancelledByDeadline uint64 `json:"cancelled_by_deadline"`
+	Shed                uint64 `json:"shed"`
+	Expired             uint64 `json:"expired"`
+	VersionMissing      uint64 `json:"version_missing"`
+	RefusedDraining     uint64 `json:"refused_draining"`
+	LateAfterDrain      uint64 `json:"late_after_drain"`
+	DoubledRequests     uint64 `json:"doubled_requests"`
+	NonIdempotentRun    uint64 `json:"non_idempotent_run"`
 }
 
 // drainGrace is how long after draining began new work is still expected.
--- a/test/integration/query_test.go
+++ b/test/integration/query_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gooseberrylane.example/core"
 	"gooseberrylane.example/standins/deployment"
 	"gooseberrylane.example/standins/upstream"
 	"gooseberrylane.example/test/harness"
@@ -143,3 +144,38 @@
 		c.Check(s.Counts().Received, qt.Equals, uint64(0), qt.Commentf("upstream %s", id))
 	}
 }
+
+// TestCallerThatGoesAwayCancelsTheWork guards against upstreams that go on working for nobody.
+func TestCallerThatGoesAwayCancelsTheWork(t *testing.T) {
+	c := qt.New(t)
+	const deadlineMS = 600_000
+	cl := harness.Start(c, "directorate", 3, func(_ *harness.VM, settings *deployment.Settings) {
+		services := settings.Plugins["configuration"][0].Settings.(map[string]any)["services"].([]*core.Service)
+		for _, service := range services {
+			service.Rule.MaxDeadlineMS = deadlineMS
+		}
+	})
+	for _, s := range cl.Upstreams {
+		// Each request takes hours, far longer than the deadline of the query.
+		s.SetFaults(upstream.Faults{StragglerShare: 1, StragglerFactor: 1e7})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	gone := make(chan struct{})
+	go func() {
+		// The call ends with the caller's own cancellation.
+		slow := query("gone")
+		slow["timeout_ms"] = deadlineMS
+		_, _ = harness.Ask(ctx, cl.VMs[0], slow)
+		close(gone)
+	}()
+	begun := func(n upstream.Counts) uint64 { return n.Begun }
+	ended := func(n upstream.Counts) uint64 { return n.Cancelled }
+	cl.WaitFor("all sub-requests to run", func() bool { return total(cl, begun) == logShards })
+	cancel()
+	<-gone
+	cl.WaitFor("all sub-requests to be cancelled", func() bool { return total(cl, ended) == logShards })
+	// Cancelled by the caller, not by the deadline, which would have ended them as well.
+	for id, s := range cl.Upstreams {
+		c.Check(s.Counts().CancelledByDeadline, qt.Equals, uint64(0), qt.Commentf("upstream %s", id))
+	}
+}
