Ask whether a quiet attempt still runs before its connection is retired

Cause: a request of more than 1 s was cancelled as if its connection were silent, so slow shards never had an answer and slow orders became outcome_unknown. Found when the test of cancelled callers passed although the caller's cancellation was cut off.

After the keepalive time the transport asks the upstream on another connection whether it runs the attempt, and waits on if so.

--- a/plugins/transport/http/conn.go
+++ b/plugins/transport/http/conn.go
@@ -207,3 +207,19 @@
 	c.used.Store(time.Now().UnixNano())
 	return nil
 }
+
+// running asks the upstream whether it runs an attempt.
+func (c *conn) running(ctx context.Context, attempt core.AttemptID) (bool, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/execute/"+attemptText(attempt), nil)
+	if err != nil {
+		return false, err
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		c.broken.Store(true)
+		return false, err
+	}
+	_ = response.Body.Close()
+	c.used.Store(time.Now().UnixNano())
+	return response.StatusCode == http.StatusNoContent, nil
+}
--- a/plugins/transport/http/http.go
+++ b/plugins/transport/http/http.go
@@ -41,8 +41,8 @@
 	// CancelGraceMS is how long a cancelled attempt may take to end before its connection is closed, in milliseconds.
 	// Default 50.
 	CancelGraceMS int64 `json:"cancel_grace_ms" validate:"gte=1,lte=10000"`
-	// KeepaliveMS is how long a connection may carry nothing while a request waits on it, before it is retired, in
-	// milliseconds. It bounds the time of a request. Default 1000.
+	// KeepaliveMS is how long a connection may carry nothing while a request waits on it, before the upstream is asked on
+	// another connection whether the request still runs, in milliseconds. If not, the connection is retired. Default 1000.
 	KeepaliveMS int64 `json:"keepalive_ms" validate:"gte=10,lte=600000"`
 	// ProbeTimeoutMS bounds the answer to the probe of an idle or suspect connection, in milliseconds. Default 250.
 	ProbeTimeoutMS int64 `json:"probe_timeout_ms" validate:"gte=10,lte=60000"`
--- a/plugins/transport/http/silent_test.go
+++ b/plugins/transport/http/silent_test.go
@@ -54,11 +54,29 @@
 	c := qt.New(t)
 	server, p := newTestPool(c, upstream.Config{ID: "u", Listen: "127.0.0.1:0", Slots: 8, ServiceUS: 60_000_000}, 100)
 	defer p.Close()
-	result := p.Execute(context.Background(), testLeg(1, time.Minute))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for server.Counts().Begun == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	result := p.Execute(ctx, testLeg(1, time.Minute))
 	c.Assert(result.Outcome == core.OutcomeRan || result.Stopped, qt.IsTrue)
 	c.Assert(server.Counts().Finished, qt.Equals, uint64(0))
 }
 
+// TestSlowRequestIsNotTakenForSilent guards against requests above the keepalive time that never get an answer although
+// their connection works.
+func TestSlowRequestIsNotTakenForSilent(t *testing.T) {
+	c := qt.New(t)
+	server, p := newTestPool(c, upstream.Config{ID: "u", Listen: "127.0.0.1:0", Slots: 8, ServiceUS: 1_000_000}, 20)
+	defer p.Close()
+	result := p.Execute(context.Background(), testLeg(1, time.Minute))
+	c.Assert(result.Code, qt.Equals, core.CodeOK)
+	c.Assert(server.Counts().Cancelled, qt.Equals, uint64(0))
+}
+
 // TestIdleSilentConnectionIsFoundByAProbe guards against idle connections that fail the next request that takes them.
 func TestIdleSilentConnectionIsFoundByAProbe(t *testing.T) {
 	c := qt.New(t)
--- a/standins/upstream/handlers.go
+++ b/standins/upstream/handlers.go
@@ -18,6 +18,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/execute", s.execute)
 	mux.HandleFunc("DELETE /v1/execute/{attempt}", s.cancel)
+	mux.HandleFunc("GET /v1/execute/{attempt}", s.status)
 	mux.HandleFunc("GET /v1/health", s.health)
 	mux.HandleFunc("GET /v1/load", s.load)
 	return mux
@@ -226,6 +227,18 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// status tells whether an attempt is running.
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	_, running := s.running[r.PathValue("attempt")]
+	s.mu.Unlock()
+	if !running {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
 	s.describe(w.Header(), true)
 	w.WriteHeader(http.StatusOK)
