--- a/plugins/dispatch/owner/messages.go
+++ b/plugins/dispatch/owner/messages.go
@@ -49,6 +49,8 @@
 	Draining bool
 	Owner    core.VMName
 	TookUS   int64
+	// OwnerVM is where Owner is, with CodeNotOwner: the VM that asked may not know it yet. Nil when not known.
+	OwnerVM *core.VM
 }
 
 // cancelMessage asks an owner VM to cancel attempts.
--- a/plugins/dispatch/owner/owner.go
+++ b/plugins/dispatch/owner/owner.go
@@ -105,23 +105,20 @@
 
 // Send implements kinds.Dispatcher.
 func (d *dispatcher) Send(ctx context.Context, legs []core.Leg, deliver func(core.LegResult)) {
-	d.route(ctx, legs, 0, deliver)
+	d.route(ctx, legs, nil, 0, deliver)
 }
 
-// route sends legs to the believed owners of their upstreams.
-func (d *dispatcher) route(ctx context.Context, legs []core.Leg, follows int, deliver func(core.LegResult)) {
+// route sends legs to via, or else to the believed owners of their upstreams.
+func (d *dispatcher) route(ctx context.Context, legs []core.Leg, via *core.VM, follows int, deliver func(core.LegResult)) {
 	view := d.State.Load()
-	remote := make(map[core.VMName][]core.Leg)
+	remote := make(map[core.VM][]core.Leg)
 	for _, leg := range legs {
-		owner := leg.Via
-		if owner == "" {
-			owner = d.hints.owner(d.Clock.Now(), leg.Upstream, view)
-		}
-		switch owner {
-		case d.Identity.VM:
+		owner := d.target(view, &leg, via)
+		switch {
+		case owner.Name == d.Identity.VM:
 			d.runLocal(ctx, leg, follows, deliver)
-		case "":
-			deliver(core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeUnreachable})
+		case owner.PeerAddress == "":
+			notDelivered([]core.Leg{leg}, deliver)
 		default:
 			remote[owner] = append(remote[owner], leg)
 		}
@@ -131,6 +128,17 @@
 	}
 }
 
+func (d *dispatcher) target(view *core.View, leg *core.Leg, via *core.VM) core.VM {
+	switch {
+	case via != nil:
+		return *via
+	case leg.Via != "":
+		return located(view, leg.Via)
+	default:
+		return d.hints.owner(d.Clock.Now(), leg.Upstream, view)
+	}
+}
+
 func (d *dispatcher) runLocal(ctx context.Context, leg core.Leg, follows int, deliver func(core.LegResult)) {
 	work, cancel := context.WithDeadline(ctx, leg.NotAfter)
 	d.local.Store(leg.Attempt.Sequence, cancel)
@@ -138,7 +146,8 @@
 		result := d.execute(work, leg)
 		d.local.Delete(leg.Attempt.Sequence)
 		cancel()
-		d.finish(ctx, leg, d.Identity.VM, follows, deliver, result)
+		p := &pending{ctx: ctx, leg: leg, vm: core.VM{Name: d.Identity.VM}, follows: follows, deliver: deliver}
+		d.finish(p, result, nil)
 	})
 	if !begun {
 		d.local.Delete(leg.Attempt.Sequence)
@@ -168,35 +177,33 @@
 }
 
 // finish delivers a result, or sends the leg on when the VM that was asked named another owner. Such a leg certainly
-// did not run.
-func (d *dispatcher) finish(ctx context.Context, leg core.Leg, asked core.VMName, follows int, deliver func(core.LegResult), result core.LegResult) {
+// did not run. named is where that owner is, nil when the VM that was asked did not tell.
+func (d *dispatcher) finish(p *pending, result core.LegResult, named *core.VM) {
 	if result.Code != core.CodeNotOwner {
-		deliver(result)
+		p.deliver(result)
 		return
 	}
-	d.hints.forget(leg.Upstream, asked)
-	if result.Owner == "" || result.Owner == asked || follows >= d.settings.MaxFollows || ctx.Err() != nil {
-		deliver(result)
+	d.hints.forget(p.leg.Upstream, p.vm.Name)
+	if result.Owner == "" || result.Owner == p.vm.Name || p.follows >= d.settings.MaxFollows || p.ctx.Err() != nil {
+		p.deliver(result)
 		return
 	}
+	owner := located(d.State.Load(), result.Owner)
+	if owner.PeerAddress == "" && named != nil {
+		owner = *named
+	}
 	// A VM that is leaving may still hold the upstream, but must not be asked by later sub-requests.
-	if vm := d.State.Load().Members.Find(result.Owner); vm != nil && vm.State == core.VMLive {
-		d.hints.store(leg.Upstream, result.Owner, d.Clock.Now().Add(time.Duration(d.settings.HintMS)*time.Millisecond))
+	if owner.State == core.VMLive && owner.PeerAddress != "" {
+		d.hints.store(p.leg.Upstream, owner, d.Clock.Now().Add(time.Duration(d.settings.HintMS)*time.Millisecond))
 	}
-	leg.Via = result.Owner
-	d.route(ctx, []core.Leg{leg}, follows+1, deliver)
+	d.route(p.ctx, []core.Leg{p.leg}, &owner, p.follows+1, p.deliver)
 }
 
-func (d *dispatcher) sendRemote(ctx context.Context, owner core.VMName, legs []core.Leg, follows int, deliver func(core.LegResult)) {
-	vm := d.State.Load().Members.Find(owner)
-	if vm == nil {
-		notDelivered(legs, deliver)
-		return
-	}
+func (d *dispatcher) sendRemote(ctx context.Context, vm core.VM, legs []core.Leg, follows int, deliver func(core.LegResult)) {
 	for i := range legs {
-		d.pending.Store(legs[i].Attempt.Sequence, &pending{ctx: ctx, leg: legs[i], vm: *vm, follows: follows, deliver: deliver})
+		d.pending.Store(legs[i].Attempt.Sequence, &pending{ctx: ctx, leg: legs[i], vm: vm, follows: follows, deliver: deliver})
 	}
-	if err := d.Peers.Send(ctx, *vm, encodeLegs(legs)); err != nil {
+	if err := d.Peers.Send(ctx, vm, encodeLegs(legs)); err != nil {
 		for i := range legs {
 			if _, open := d.pending.LoadAndDelete(legs[i].Attempt.Sequence); open {
 				notDelivered(legs[i:i+1], deliver)
@@ -204,7 +211,7 @@
 		}
 		return
 	}
-	context.AfterFunc(ctx, func() { d.forget(*vm, legs) })
+	context.AfterFunc(ctx, func() { d.forget(vm, legs) })
 }
 
 func notDelivered(legs []core.Leg, deliver func(core.LegResult)) {
@@ -271,7 +278,7 @@
 			result := d.execute(ctx, leg)
 			d.running.Delete(key)
 			// A lost result looks like a late one to the other VM.
-			_ = d.Peers.Send(d.base, from, resultsMessage{Started: m.Started, Results: []wireResult{encodeResult(result)}})
+			_ = d.Peers.Send(d.base, from, resultsMessage{Started: m.Started, Results: []wireResult{d.encode(result)}})
 		})
 		if !begun {
 			d.running.Delete(key)
@@ -281,6 +288,15 @@
 	}
 }
 
+// encode returns a result for another VM. A refusal tells where the owner is.
+func (d *dispatcher) encode(result core.LegResult) wireResult {
+	wire := encodeResult(result)
+	if result.Code == core.CodeNotOwner && result.Owner != "" {
+		wire.OwnerVM = d.State.Load().Members.Find(result.Owner)
+	}
+	return wire
+}
+
 // refuse answers a leg that arrived while this VM stops. The refusal is lost when the link has ended already; the other
 // VM then treats the leg as one whose outcome is unknown.
 func (d *dispatcher) refuse(to core.VM, started core.Incarnation, attempt core.AttemptID) {
@@ -301,7 +317,7 @@
 			continue
 		}
 		p := value.(*pending)
-		d.finish(p.ctx, p.leg, p.vm.Name, p.follows, p.deliver, m.Results[i].result(p.leg.Attempt))
+		d.finish(p, m.Results[i].result(p.leg.Attempt), m.Results[i].OwnerVM)
 	}
 }
 
--- a/plugins/dispatch/owner/owner_test.go
+++ b/plugins/dispatch/owner/owner_test.go
@@ -49,7 +49,7 @@
 func newTestDispatcher(t *testing.T) *testDispatcher {
 	state := kernel.NewState()
 	state.Update(func(v *core.View) {
-		v.Members = &core.Members{All: []core.VM{{Name: "self"}, {Name: "old"}, {Name: "new"}}}
+		v.Members = &core.Members{All: []core.VM{{Name: "self"}, {Name: "old", PeerAddress: "o"}, {Name: "new", PeerAddress: "n"}}}
 		v.Ownership = &core.Ownership{Owner: map[core.UpstreamID]core.VMName{"u": "old"}}
 	})
 	out := make(chan sent, 100)
@@ -92,12 +92,27 @@
 	d.send(2)
 	c.Assert((<-d.out).to, qt.Equals, core.VMName("new"))
 	d.State.Update(func(v *core.View) {
-		v.Members = &core.Members{All: []core.VM{{Name: "self"}, {Name: "old"}, {Name: "new", State: core.VMLeaving}}}
+		v.Members = &core.Members{All: []core.VM{{Name: "old", PeerAddress: "o"}, {Name: "new", PeerAddress: "n", State: core.VMLeaving}}}
 	})
 	d.send(3)
 	c.Assert((<-d.out).to, qt.Equals, core.VMName("old"))
 }
 
+// TestSubRequestFollowsToAnUnknownVM guards against queries that fail because a VM that just joined another failure
+// domain took over an upstream before this VM heard of it.
+func TestSubRequestFollowsToAnUnknownVM(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(t)
+	d.send(1)
+	<-d.out
+	wire := encodeResult(refusal("joined"))
+	wire.Sequence, wire.OwnerVM = 1, &core.VM{Name: "joined", PeerAddress: "j"}
+	d.onResults(core.VM{}, &resultsMessage{Started: 7, Results: []wireResult{wire}})
+	c.Assert((<-d.out).to, qt.Equals, core.VMName("joined"))
+	d.send(2)
+	c.Assert((<-d.out).to, qt.Equals, core.VMName("joined"))
+}
+
 // TestFollowingEnds guards against a sub-request that two VMs with different beliefs send to each other for ever.
 func TestFollowingEnds(t *testing.T) {
 	c := qt.New(t)
@@ -142,7 +157,7 @@
 	waiting := (<-d.out).m
 	answer := resultsMessage{Started: 9}
 	d.onLinkDown(kinds.LinkDown{
-		VM: core.VM{Name: "old"}, Written: true, Undelivered: []kinds.Message{waiting}, Unconfirmed: []kinds.Message{answer},
+		VM: core.VM{Name: "old", PeerAddress: "o"}, Written: true, Undelivered: []kinds.Message{waiting}, Unconfirmed: []kinds.Message{answer},
 	})
 	notRun, unknown := <-d.results, <-d.results
 	c.Check(notRun.Attempt.Sequence, qt.Equals, uint64(2))
--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -18,6 +18,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gooseberrylane.example/core"
 	"gooseberrylane.example/standins/deployment"
 	"gooseberrylane.example/standins/platform"
 	"gooseberrylane.example/standins/upstream"
@@ -65,6 +66,7 @@
 	Platform   *platform.Server
 	Upstreams  map[string]*upstream.Server
 	VMs        []*VM
+	created    int
 }
 
 // VM is one daemon process.
@@ -108,10 +110,7 @@
 	c.Assert(cl.Platform.Start(), qt.IsNil)
 	c.Cleanup(func() { _ = cl.Platform.Stop() })
 	for i := range n {
-		cl.VMs = append(cl.VMs, &VM{VM: deployment.VM{
-			Name: fmt.Sprintf("vm-%d", i+1), Domain: deployment.Domains[i%len(deployment.Domains)],
-			Peer: loopbackAddress(peerPort), Caller: loopbackAddress(callerPort), Operator: loopbackAddress(operatorPort),
-		}})
+		cl.NewVM(deployment.Domains[i%len(deployment.Domains)])
 	}
 	for _, vm := range cl.VMs {
 		cl.Launch(vm, change)
@@ -119,6 +118,17 @@
 	return cl
 }
 
+// NewVM adds a VM with addresses of its own to the cluster. Start it with Launch.
+func (cl *Cluster) NewVM(domain core.FailureDomain) *VM {
+	cl.created++
+	vm := &VM{VM: deployment.VM{
+		Name: fmt.Sprintf("vm-%d", cl.created), Domain: domain,
+		Peer: loopbackAddress(peerPort), Caller: loopbackAddress(callerPort), Operator: loopbackAddress(operatorPort),
+	}}
+	cl.VMs = append(cl.VMs, vm)
+	return vm
+}
+
 // Ports of the daemons. They are the same for all VMs, because each VM has addresses of its own.
 const (
 	peerPort     = 7101
--- a/test/membership/cluster_test.go
+++ b/test/membership/cluster_test.go
@@ -99,7 +99,9 @@
 
 // load asks queries from several callers until it is stopped.
 type load struct {
-	stop    chan struct{}
+	stop chan struct{}
+	// vms are the VMs that the balancer would choose from.
+	vms     atomic.Pointer[[]*harness.VM]
 	callers sync.WaitGroup
 	asked   atomic.Uint64
 	bad     atomic.Pointer[string]
@@ -108,6 +110,7 @@
 // startLoad asks the VMs in turn. Every shard must be covered by every answer.
 func startLoad(vms []*harness.VM, callers int) *load {
 	l := &load{stop: make(chan struct{})}
+	l.vms.Store(&vms)
 	for k := range callers {
 		l.callers.Go(func() {
 			for i := 0; ; i++ {
@@ -116,6 +119,7 @@
 					return
 				default:
 				}
+				vms := *l.vms.Load()
 				l.ask(vms[(i+k)%len(vms)], fmt.Sprintf("load-%d-%d", k, i))
 			}
 		})
--- a/test/membership/membership_test.go
+++ b/test/membership/membership_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"net"
+	"slices"
 	"syscall"
 	"testing"
 
@@ -83,6 +84,28 @@
 	c.Logf("%d queries", l.asked.Load())
 }
 
+// TestRollingReplacementFailsNoQuery guards against queries that fail while each VM is replaced by a new one under load.
+func TestRollingReplacementFailsNoQuery(t *testing.T) {
+	c := qt.New(t)
+	cl := start(c, 6, nil)
+	l := startLoad(cl.VMs, 4)
+	for _, old := range slices.Clone(cl.VMs) {
+		next := cl.NewVM(old.Domain)
+		cl.Launch(next, withHeartbeats)
+		cl.WaitReady(next)
+		live := others(cl, old)
+		l.vms.Store(&live)
+		cl.VMs = live
+		list(cl, live)
+		c.Assert(old.Signal(syscall.SIGTERM), qt.IsNil)
+		c.Check(old.WaitExit(), qt.Equals, 0)
+		cl.WaitFor("one owner for each upstream", func() bool { return owners(cl, cl.VMs) != nil })
+	}
+	c.Check(l.finish(), qt.Equals, "")
+	c.Check(total(cl, overSlots), qt.Equals, uint64(0))
+	c.Logf("%d queries", l.asked.Load())
+}
+
 // TestDifferentListsEndWithOneOwner guards against two VMs that do not know each other and keep the same upstream.
 func TestDifferentListsEndWithOneOwner(t *testing.T) {
 	c := qt.New(t)
