--- a/plugins/engine/standard/pin.go
+++ b/plugins/engine/standard/pin.go
@@ -20,21 +20,36 @@
 	return chooseVersion(view, service)
 }
 
-// chooseVersion ignores replicas that get no new work, because no leg could be covered by their versions.
+// chooseVersion returns the version to pin, 0 when no window is known.
 func chooseVersion(view *core.View, service *core.Service) core.IndexVersion {
 	groups := make([][]core.Window, len(service.Groups))
 	for g := range service.Groups {
-		for u := range service.Groups[g].Upstreams {
-			upstream := &service.Groups[g].Upstreams[u]
-			state := view.State(upstream.ID)
-			if state != nil && !upstream.Draining && state.DrainSince.Load() == 0 {
-				groups[g] = append(groups[g], state.Window())
-			}
-		}
+		groups[g] = usableWindows(view, &service.Groups[g])
 	}
 	return snapshot.Choose(service.Rule.VersionRule, groups)
 }
 
+// usableWindows returns the windows of the replicas of a group that get new work, because no leg can be covered by those
+// of the others. When only replicas that are draining have told theirs, these are the best that is known.
+func usableWindows(view *core.View, group *core.Group) []core.Window {
+	var usable, draining []core.Window
+	for u := range group.Upstreams {
+		upstream := &group.Upstreams[u]
+		state := view.State(upstream.ID)
+		switch {
+		case state == nil || state.Window().Newest == 0:
+		case upstream.Draining || state.DrainSince.Load() != 0:
+			draining = append(draining, state.Window())
+		default:
+			usable = append(usable, state.Window())
+		}
+	}
+	if len(usable) == 0 {
+		return draining
+	}
+	return usable
+}
+
 // unknownWindows returns, by group, the upstreams of the groups of which no window is known.
 func (e *engine) unknownWindows(view *core.View, service *core.Service) [][]core.UpstreamID {
 	var unknown [][]core.UpstreamID
--- /dev/null
+++ b/plugins/engine/standard/pin_test.go
@@ -0,0 +1,26 @@
+package standard
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/core"
+)
+
+// TestPinOutlivesADrainingReplica guards against refused queries when the only replica whose window this VM knows starts
+// to drain, and against a pin to a version that only a draining replica holds.
+func TestPinOutlivesADrainingReplica(t *testing.T) {
+	c := qt.New(t)
+	a, b := &core.UpstreamState{}, &core.UpstreamState{}
+	view := &core.View{Upstreams: map[core.UpstreamID]*core.UpstreamState{"a": a, "b": b}}
+	service := &core.Service{
+		Rule:   core.Rule{VersionRule: core.VersionNewest},
+		Groups: []core.Group{{Name: "g", Upstreams: []core.Upstream{{ID: "a"}, {ID: "b"}}}},
+	}
+	a.SetWindow(core.Window{Oldest: 1, Newest: 9})
+	a.DrainSince.Store(1)
+	c.Assert(chooseVersion(view, service), qt.Equals, core.IndexVersion(9))
+	b.SetWindow(core.Window{Oldest: 1, Newest: 8})
+	c.Assert(chooseVersion(view, service), qt.Equals, core.IndexVersion(8))
+}
