--- a/bench/report.go
+++ b/bench/report.go
@@ -70,6 +70,7 @@
 			f["goodput"] = lowest(goodput)
 		}
 		f["top_class_in_deadline"] = topClassInDeadline(c.plan, s.record)
+		f["vms_replaced"] = float64(s.fleet.replaced)
 		r.Reasons[contenders[i].name] = s.record.reasons
 		if len(s.record.samples) > 0 {
 			r.Faults[contenders[i].name] = s.record.samples
