--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -149,6 +149,11 @@
 	c.Check(r.settled.TotalCount(), qt.Equals, int64(50))
 	c.Check(r.services[service.Name].inDeadline, qt.Equals, uint64(99))
 	c.Check(r.services[service.Name].inSlice, qt.Equals, uint64(59))
+	q := &arrival{service: service.Name, kind: write, shards: []core.ShardName{service.Layouts[0].Shards[0].Name}, id: "w"}
+	r.observe(&outcome{query: q, answer: fullAnswer(q, service, 1), sends: 1}, service, true, time.Second)
+	// A non-idempotent request counts among the work of its class.
+	c.Check(r.services[service.Name].offered, qt.Equals, uint64(101))
+	c.Check(r.services[service.Name].inDeadline, qt.Equals, uint64(100))
 }
 
 // TestEveryScenarioOfTheTargets guards against a scenario that is named in the targets but not linked, and against
--- a/bench/record.go
+++ b/bench/record.go
@@ -35,6 +35,14 @@
 	inSlice uint64
 }
 
+// finished counts a complete answer within the deadline.
+func (s *serviceRecord) finished(o *outcome, slice time.Duration) {
+	s.inDeadline++
+	if o.query.at+o.took <= slice {
+		s.inSlice++
+	}
+}
+
 // sideRecord collects what one side did over all its slices.
 type sideRecord struct {
 	mu       sync.Mutex
@@ -90,15 +98,15 @@
 	}
 	if o.query.kind == write {
 		r.observeWrite(o, service)
+		if o.answer != nil && o.answer.Code == core.CodeOK && o.took <= queryDeadline {
+			s.finished(o, slice)
+		}
 		return
 	}
 	r.queries++
 	if r.observeAnswer(o, service) {
 		r.inDeadline++
-		s.inDeadline++
-		if o.query.at+o.took <= slice {
-			s.inSlice++
-		}
+		s.finished(o, slice)
 	}
 	reached := o.answer != nil && r.observeReach(o, service)
 	if o.answer != nil && o.answer.refused() {
