Keep the member list until something in it changes

The table now keeps its list and says when silence changes it next, keeps the neighbours apart, and notes the newest acknowledgement. Members.Find searches the ordered list by halves, because the dispatcher asks it for each owner of a query.

--- a/coord/membership/contact.go
+++ b/coord/membership/contact.go
@@ -16,10 +16,15 @@
 // Tick marks that the VM runs. Call it several times in each PauseAfter.
 func (t *Table) Tick(now time.Time) {
 	t.lastTick = now
+	if now.Sub(t.swept) < t.settings.Period {
+		return
+	}
+	t.swept = now
 	for name, m := range t.members {
 		if !m.listed && now.Sub(m.seen()) >= t.settings.ForgetAfter+t.round() {
 			delete(t.members, name)
-			t.count(m, -1)
+			delete(t.neighbours, name)
+			t.shown.outdated, t.ackedStale = true, true
 		}
 	}
 }
@@ -34,8 +39,8 @@
 			contacts = append(contacts, vm)
 		}
 	}
-	for name, m := range t.members {
-		if m.vm.Domain == t.self.Domain && t.stateOf(now, m) == core.VMGone && now.Sub(m.contacted) >= t.settings.RetryGone {
+	for name, m := range t.neighbours {
+		if t.stateOf(now, m) == core.VMGone && now.Sub(m.contacted) >= t.settings.RetryGone {
 			gone = append(gone, name)
 		}
 	}
@@ -86,8 +91,9 @@
 	if t.settings.Across <= 0 {
 		return 0
 	}
+	n := len(t.members) - len(t.neighbours)
 	// The order differs from round to round, so two contacts can be almost two rounds apart.
-	return 2 * time.Duration(t.strangers/t.settings.Across+1) * t.settings.Period
+	return 2 * time.Duration(n/t.settings.Across+1) * t.settings.Period
 }
 
 // Known returns the members that this VM has heard itself and that are not gone, and the VM itself. Only these are
--- a/coord/membership/table.go
+++ b/coord/membership/table.go
@@ -62,22 +62,31 @@
 	settings Settings
 	self     core.VM
 	members  map[core.VMName]*member
+	// neighbours holds the members of the own failure domain, which are asked for far more often than the others.
+	neighbours map[core.VMName]*member
 	// across holds the members of other failure domains that the current round has not contacted yet.
-	across []core.VMName
-	// strangers is the number of members of other failure domains.
-	strangers int
-	lastTick  time.Time
+	across   []core.VMName
+	lastTick time.Time
+	// swept is the time of the last search for members to forget.
+	swept time.Time
 	// listedAt is the time of the last platform list, zero before the first.
 	listedAt time.Time
 	// introduced is set once the platform's list names the VM itself.
 	introduced bool
 	digest     uint64
 	digestAt   time.Time
+	shown      shownList
+	// lastAcked is the newest acknowledgement of a neighbour; ackedStale asks to look for it again.
+	lastAcked  time.Time
+	ackedStale bool
 }
 
 // New returns a table that knows only the VM itself.
 func New(settings Settings, self core.VM, now time.Time) *Table {
-	return &Table{settings: settings, self: self, members: make(map[core.VMName]*member), lastTick: now}
+	return &Table{
+		settings: settings, self: self, lastTick: now, swept: now,
+		members: make(map[core.VMName]*member), neighbours: make(map[core.VMName]*member),
+	}
 }
 
 // Self returns the VM of the table.
@@ -86,11 +95,13 @@
 // Leave marks the VM itself as leaving.
 func (t *Table) Leave() {
 	t.self.State = core.VMLeaving
+	t.shown.outdated = true
 }
 
 // Restart gives the VM a new incarnation, as after a pause. Acknowledgements of the old one no longer count.
 func (t *Table) Restart(incarnation core.Incarnation) {
 	t.self.Incarnation = max(incarnation, t.self.Incarnation+1)
+	t.shown.outdated, t.ackedStale = true, true
 	for _, m := range t.members {
 		m.acked = time.Time{}
 	}
@@ -99,15 +110,7 @@
 // Introduced reports whether the table knows enough to act: another member of the own failure domain, or a list that
 // names the VM itself. A list without it lags, and may lack others as well.
 func (t *Table) Introduced() bool {
-	if t.introduced {
-		return true
-	}
-	for _, m := range t.members {
-		if m.vm.Domain == t.self.Domain {
-			return true
-		}
-	}
-	return false
+	return t.introduced || len(t.neighbours) > 0
 }
 
 // Hear records a direct message in which a VM states its name, incarnation, address and whether it is leaving. It
@@ -123,39 +126,51 @@
 	if m == nil || vm.Incarnation > m.vm.Incarnation {
 		m = t.replace(now, m, vm)
 	}
-	t.count(m, -1)
-	m.vm.Domain, m.vm.PeerAddress = vm.Domain, vm.PeerAddress
-	t.count(m, 1)
-	m.heard, m.ended = now, false
+	if m.vm.Domain != vm.Domain || m.vm.PeerAddress != vm.PeerAddress {
+		t.place(m, vm)
+	}
+	m.heard = now
+	if m.ended {
+		m.ended, t.ackedStale = false, true
+	}
 	// Leaving is final for an incarnation, so that a delayed message does not undo it.
 	m.leaving = m.leaving || vm.State == core.VMLeaving
+	t.showChange(now, m)
 	return true
 }
 
+// place takes the failure domain and the address of a member.
+func (t *Table) place(m *member, vm core.VM) {
+	m.vm.Domain, m.vm.PeerAddress = vm.Domain, vm.PeerAddress
+	if vm.Domain == t.self.Domain {
+		t.neighbours[vm.Name] = m
+	} else {
+		delete(t.neighbours, vm.Name)
+	}
+	t.shown.outdated, t.ackedStale = true, true
+}
+
 // replace begins a new incarnation of a member.
 func (t *Table) replace(now time.Time, old *member, vm core.VM) *member {
 	m := &member{vm: vm, learned: now}
 	if old != nil {
 		m.listed = old.listed
-		t.count(old, -1)
 	}
-	t.count(m, 1)
 	m.leaving = vm.State == core.VMLeaving
 	t.members[vm.Name] = m
+	t.place(m, vm)
 	return m
 }
 
-// count adds a member to the strangers if it is one.
-func (t *Table) count(m *member, n int) {
-	if m.vm.Domain != t.self.Domain {
-		t.strangers += n
-	}
-}
-
 // Acknowledged records that a member answered a heartbeat that this VM sent at the given time.
 func (t *Table) Acknowledged(name core.VMName, sent time.Time) {
-	if m := t.members[name]; m != nil && sent.After(m.acked) {
-		m.acked = sent
+	m := t.members[name]
+	if m == nil || !sent.After(m.acked) {
+		return
+	}
+	m.acked = sent
+	if m.vm.Domain == t.self.Domain && !m.ended && sent.After(t.lastAcked) {
+		t.lastAcked = sent
 	}
 }
 
@@ -198,6 +213,7 @@
 	}
 	if vm.PeerAddress != m.vm.PeerAddress {
 		m.vm.PeerAddress, m.ended, m.learned = vm.PeerAddress, false, now
+		t.shown.outdated, t.ackedStale = true, true
 	}
 }
 
@@ -208,6 +224,7 @@
 		return
 	}
 	m.ended = true
+	t.shown.outdated, t.ackedStale = true, true
 }
 
 // Age returns how long a member has been silent.
@@ -222,21 +239,24 @@
 // LastAcknowledged returns the time at which the newest heartbeat was sent that a member of the own failure domain
 // acknowledged; zero when there is none.
 func (t *Table) LastAcknowledged() time.Time {
-	var last time.Time
-	for _, m := range t.members {
-		if m.vm.Domain == t.self.Domain && !m.ended && m.acked.After(last) {
-			last = m.acked
+	if !t.ackedStale {
+		return t.lastAcked
+	}
+	t.lastAcked, t.ackedStale = time.Time{}, false
+	for _, m := range t.neighbours {
+		if !m.ended && m.acked.After(t.lastAcked) {
+			t.lastAcked = m.acked
 		}
 	}
-	return last
+	return t.lastAcked
 }
 
 // Alone reports whether every other known member of the own failure domain is known to have ended. A member that the
 // platform still did not list after it had been silent for GoneAfter has ended with its machine.
 func (t *Table) Alone() bool {
-	for _, m := range t.members {
+	for _, m := range t.neighbours {
 		delisted := !m.listed && t.listedAt.Sub(m.seen()) >= t.settings.GoneAfter
-		if m.vm.Domain == t.self.Domain && !m.ended && !delisted {
+		if !m.ended && !delisted {
 			return false
 		}
 	}
@@ -247,8 +267,8 @@
 // ordered by name.
 func (t *Table) Neighbours(now time.Time) []core.VM {
 	var vms []core.VM
-	for _, m := range t.members {
-		if m.vm.Domain == t.self.Domain && !m.ended {
+	for _, m := range t.neighbours {
+		if !m.ended {
 			vms = append(vms, t.withState(now, m))
 		}
 	}
@@ -264,16 +284,6 @@
 	return t.withState(now, m), true
 }
 
-// Members returns the member list with the states at a time.
-func (t *Table) Members(now time.Time) *core.Members {
-	all := make([]core.VM, 0, len(t.members)+1)
-	all = append(all, t.self)
-	for _, m := range t.members {
-		all = append(all, t.withState(now, m))
-	}
-	return &core.Members{Self: t.self, All: sorted(all)}
-}
-
 func sorted(vms []core.VM) []core.VM {
 	slices.SortFunc(vms, func(a, b core.VM) int { return cmp.Compare(a.Name, b.Name) })
 	return vms
@@ -288,8 +298,14 @@
 // stateOf applies the silence rules. A member of another failure domain is contacted only once in each round of
 // contacts, so the length of a round is added to its bounds.
 func (t *Table) stateOf(now time.Time, m *member) core.VMState {
+	state, _ := t.stateUntil(now, m)
+	return state
+}
+
+// stateUntil returns the state of a member at a time and how long it lasts when nothing is heard; 0 means for ever.
+func (t *Table) stateUntil(now time.Time, m *member) (core.VMState, time.Duration) {
 	if m.ended {
-		return core.VMGone
+		return core.VMGone, 0
 	}
 	silent := now.Sub(m.seen())
 	if m.vm.Domain != t.self.Domain {
@@ -297,12 +313,12 @@
 	}
 	switch {
 	case silent >= t.settings.GoneAfter:
-		return core.VMGone
+		return core.VMGone, 0
 	case silent >= t.settings.SuspectAfter:
-		return core.VMSuspect
+		return core.VMSuspect, t.settings.GoneAfter - silent
 	case m.leaving:
-		return core.VMLeaving
+		return core.VMLeaving, t.settings.SuspectAfter - silent
 	default:
-		return core.VMLive
+		return core.VMLive, t.settings.SuspectAfter - silent
 	}
 }
--- a/core/view.go
+++ b/core/view.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -55,12 +57,11 @@
 	if m == nil {
 		return nil
 	}
-	for i := range m.All {
-		if m.All[i].Name == name {
-			return &m.All[i]
-		}
+	i, found := slices.BinarySearchFunc(m.All, name, func(vm VM, name VMName) int { return cmp.Compare(vm.Name, name) })
+	if !found {
+		return nil
 	}
-	return nil
+	return &m.All[i]
 }
 
 // Ownership says which VM owns each upstream, as far as this VM knows. It is immutable once published.
--- a/plugins/membership/static/static.go
+++ b/plugins/membership/static/static.go
@@ -2,7 +2,9 @@
 package static
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"go.uber.org/fx"
 
@@ -96,6 +98,7 @@
 				})
 			}
 		}
+		slices.SortFunc(all, func(a, b core.VM) int { return cmp.Compare(a.Name, b.Name) })
 		v.Members = &core.Members{Self: self, All: all}
 		v.Ownership = ownership.Assign(v.Config, v.Members)
 		// Ready together with the ownership: a VM that is ready without one reports every shard as unreachable.
