Measure the placement by blocks and describe it

Current deployments stay at 1, the default. A plan shows the rule and warns that owners move; invalid sizes are refused with their path.

--- a/coord/config/config_test.go
+++ b/coord/config/config_test.go
@@ -69,7 +69,7 @@
 	c := qt.New(t)
 	base := baseSet(c)
 	bad := serviceOf("bad name", []int{1}, []int{2, 2})
-	bad.Rule = core.Rule{Class: 9, DefaultDeadlineMS: 5, MaxDeadlineMS: 4, VersionRule: "x", HedgePercent: math.NaN(), RetryPercent: -1, MaxShards: -1}
+	bad.Rule = core.Rule{Class: 9, DefaultDeadlineMS: 5, MaxDeadlineMS: 4, VersionRule: "x", HedgePercent: math.NaN(), RetryPercent: -1, MaxShards: -1, PlacementBlock: -1}
 	bad.Groups[0].Upstreams[0].Address = "nowhere"
 	bad.Groups[0].Upstreams[0].Slots = 0
 	bad.Layouts = append(bad.Layouts, core.Layout{FirstVersion: 1, Shards: []core.Shard{{Name: "a", Group: "g0"}, {Name: "a", Group: "none"}}})
@@ -91,6 +91,7 @@
 operations[0].put_service.rule.default_deadline_ms
 operations[0].put_service.rule.version_rule
 operations[0].put_service.rule.max_shards
+operations[0].put_service.rule.placement_block
 operations[0].put_service.rule.hedge_percent
 operations[0].put_service.rule.retry_percent
 operations[0].put_service.groups[0].upstreams[0].address
@@ -179,3 +180,31 @@
 	c.Assert(set.Upstream("u0").Draining, qt.IsTrue)
 	c.Assert(shared.Upstreams[0].Draining, qt.IsFalse)
 }
+
+// TestPlanWarnsOfMovedOwners guards against an operator who moves all upstreams of a service to other owners unseen.
+func TestPlanWarnsOfMovedOwners(t *testing.T) {
+	c := qt.New(t)
+	rule := validRule()
+	rule.PlacementBlock = 12
+	intent := Intent{Operator: "op", Operations: []Operation{{PutRule: &PutRule{Service: "orders", Rule: rule}}}}
+	plan, err := NewPlan("p2", baseSet(c), intent, time.Unix(1000, 0))
+	c.Assert(err, qt.IsNil)
+	c.Assert(plan.Differences, qt.HasLen, 1)
+	c.Check(plan.Differences[0].After, qt.Equals, "placement_block=12")
+	c.Check(plan.Warnings, qt.DeepEquals, []string{
+		"orders: the placement block changes from 1 to 12 groups; most upstreams of the service get another owner",
+	})
+}
+
+// TestGroupsAreFoundAfterAChange guards against queries that find no group once a change was applied.
+func TestGroupsAreFoundAfterAChange(t *testing.T) {
+	c := qt.New(t)
+	log := NewLog(10)
+	for i, op := range []Operation{{PutService: serviceOf("a", []int{0})}, {PutService: serviceOf("b", []int{1})}} {
+		_, err := log.Add(Change{Revision: core.Revision(i + 1), Plan: "p", Intent: Intent{Operations: []Operation{op}}})
+		c.Assert(err, qt.IsNil)
+	}
+	for _, service := range []core.ServiceName{"a", "b"} {
+		c.Check(log.Set().Group(service, "g0"), qt.IsNotNil)
+	}
+}
--- a/coord/config/digest.go
+++ b/coord/config/digest.go
@@ -76,7 +76,7 @@
 }
 
 func (w *digestWriter) rule(r *core.Rule) {
-	for _, n := range []int{int(r.Class), int(r.DefaultDeadlineMS), int(r.MaxDeadlineMS), r.MaxShards, r.PlacementBlock, len(r.Domains)} {
+	for _, n := range []int{int(r.Class), int(r.DefaultDeadlineMS), int(r.MaxDeadlineMS), r.MaxShards, max(r.PlacementBlock, 1), len(r.Domains)} {
 		w.number(n)
 	}
 	for _, f := range []float64{r.HedgePercent, r.RetryPercent, r.RatePerCaller} {
