--- a/core/view.go
+++ b/core/view.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -55,18 +57,17 @@
 	if m == nil {
 		return nil
 	}
-	for i := range m.All {
-		if m.All[i].Name == name {
-			return &m.All[i]
-		}
+	i, found := slices.BinarySearchFunc(m.All, name, func(vm VM, name VMName) int { return cmp.Compare(vm.Name, name) })
+	if !found {
+		return nil
 	}
-	return nil
+	return &m.All[i]
 }
 
 // Ownership says which VM owns each upstream, as far as this VM knows. It is immutable once published.
 type Ownership struct {
 	// Owner holds the believed owner of each upstream.
-	Owner map[UpstreamID]VMName
+	Owner Map[UpstreamID, VMName]
 	// Held is the set of upstreams that this VM may use itself while Hold is valid.
 	Held map[UpstreamID]bool
 	// Hold bounds the use of Held in time; nil means no bound.
@@ -200,7 +201,7 @@
 	Members   *Members
 	Ownership *Ownership
 	// Upstreams holds the observed state of each upstream of Config.
-	Upstreams map[UpstreamID]*UpstreamState
+	Upstreams Map[UpstreamID, *UpstreamState]
 	// Ready is false until the VM has a configuration and while it stops.
 	Ready bool
 	// PlatformSince is the time of the last contact with the platform; zero before the first.
@@ -210,4 +211,4 @@
 }
 
 // State returns the observed state of an upstream, or nil.
-func (v *View) State(id UpstreamID) *UpstreamState { return v.Upstreams[id] }
+func (v *View) State(id UpstreamID) *UpstreamState { return v.Upstreams.Value(id) }
--- a/plugins/dispatch/owner/hints.go
+++ b/plugins/dispatch/owner/hints.go
@@ -26,7 +26,7 @@
 		}
 		h.byUpstream.CompareAndDelete(id, value)
 	}
-	return located(view, view.Ownership.Owner[id])
+	return located(view, view.Ownership.Owner.Value(id))
 }
 
 // located returns a VM as the member list knows it; without an address when it does not.
--- a/plugins/engine/standard/pin_test.go
+++ b/plugins/engine/standard/pin_test.go
@@ -13,7 +13,7 @@
 func TestPinOutlivesADrainingReplica(t *testing.T) {
 	c := qt.New(t)
 	a, b := &core.UpstreamState{}, &core.UpstreamState{}
-	view := &core.View{Upstreams: map[core.UpstreamID]*core.UpstreamState{"a": a, "b": b}}
+	view := &core.View{Upstreams: core.MapOf(map[core.UpstreamID]*core.UpstreamState{"a": a, "b": b})}
 	service := &core.Service{
 		Rule:   core.Rule{VersionRule: core.VersionNewest},
 		Groups: []core.Group{{Name: "g", Upstreams: []core.Upstream{{ID: "a"}, {ID: "b"}}}},
