--- a/test/membership/membership_test.go
+++ b/test/membership/membership_test.go
@@ -145,6 +145,9 @@
 	list(cl, cl.VMs)
 	cl.WaitFor("the address of the proxy", func() bool { return addressOf(cl.VMs[3], cl.VMs[0]) == proxy.Address() })
 	cl.WaitFor("links through the proxy", func() bool { return proxy.Counts().Connections >= 5 })
+	// A connection that is only being accepted would not be silenced, so some traffic has to pass first.
+	carried := proxy.Counts().BytesUp
+	cl.WaitFor("traffic through the proxy", func() bool { return proxy.Counts().BytesUp > carried+1000 })
 	before := proxy.Counts().Connections
 	proxy.Silence()
 	cl.WaitFor("new links", func() bool { return proxy.Counts().Connections >= before+5 })
