--- a/coord/hedge/hedge.go
+++ b/coord/hedge/hedge.go
@@ -9,24 +9,21 @@
 	"gooseberrylane.example/core"
 )
 
-// Limits of a budget, in second requests. A new budget holds a few, because a process sees stragglers before it has earned
-// one; at 20 VMs that is 60 second requests in all.
-const (
-	initialHedges = 3
-	maxBurst      = 100
-)
+// maxBurst bounds the second requests that a quiet time saves up. A new budget is empty: with many VMs and services,
+// even a few second requests for each break the share in the first minutes.
+const maxBurst = 100
 
 // Settings of a Policy.
 type Settings struct {
 	// BudgetShare is the part of a service's hedge_percent that the learned delay aims to use; the rest covers changes
-	// of latency. Default 0.75.
+	// of latency and bursts of stragglers. Default 0.6.
 	BudgetShare float64 `json:"budget_share" validate:"gt=0,lte=1"`
 	// MinDelayMS is the shortest delay before a second request, in milliseconds. Default 1.
 	MinDelayMS float64 `json:"min_delay_ms" validate:"gte=0,lte=10000"`
 }
 
 // Defaults returns the default settings.
-func Defaults() Settings { return Settings{BudgetShare: 0.75, MinDelayMS: 1} }
+func Defaults() Settings { return Settings{BudgetShare: 0.6, MinDelayMS: 1} }
 
 // wholeService stands for all groups of a service; no group has this name.
 const wholeService core.GroupName = ""
@@ -60,7 +57,7 @@
 	if b, ok := p.budgets.Load(service); ok {
 		return b.(*budget.Bucket)
 	}
-	b, _ := p.budgets.LoadOrStore(service, budget.New(initialHedges, maxBurst))
+	b, _ := p.budgets.LoadOrStore(service, budget.New(0, maxBurst))
 	return b.(*budget.Bucket)
 }
 
--- a/coord/query/machine.go
+++ b/coord/query/machine.go
@@ -223,20 +223,19 @@
 		return
 	}
 	if len(state.open) > 0 {
-		m.hedgeAgain(now, a, result)
+		m.hedgeAgain(now, state)
 		return
 	}
 	state.hedgeAt = time.Time{}
 	m.planRetry(now, a, result)
 }
 
-// hedgeAgain plans another second request after one that was refused before it ran.
-func (m *Machine) hedgeAgain(now time.Time, a *attempt, result *core.LegResult) {
-	state := &m.shards[a.shard]
-	if !state.hedged || result.Outcome != core.OutcomeNotRun {
+// hedgeAgain plans another second request after one of two attempts failed: the other one may be silent.
+func (m *Machine) hedgeAgain(now time.Time, state *shardState) {
+	if !state.hedged {
 		return
 	}
-	state.hedged = false
+	state.hedged, state.overdue = false, false
 	m.planHedge(now, state)
 }
 
--- a/coord/query/machine_test.go
+++ b/coord/query/machine_test.go
@@ -217,3 +217,19 @@
 	c.Assert(second, qt.HasLen, 1)
 	c.Assert(second[0].Upstream, qt.Not(qt.Equals), first.Upstream)
 }
+
+// TestLostAttemptIsReplacedWhileTheOtherIsSilent guards against a shard that waits for its deadline because one attempt was
+// lost with its link and the other one is on a silent connection.
+func TestLostAttemptIsReplacedWhileTheOtherIsSilent(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(1, 2)
+	f.learnDelay(10 * time.Millisecond)
+	m := f.machine(true, time.Second)
+	first := sends(m.Start(epoch))[0]
+	now := m.NextWake()
+	c.Assert(sends(m.Wake(now)), qt.HasLen, 1)
+	m.Result(now, core.LegResult{Attempt: first.Attempt, Code: core.CodeConnectionLost})
+	again := sends(m.Wake(m.NextWake()))
+	c.Assert(again, qt.HasLen, 1)
+	c.Assert(again[0].Upstream, qt.Equals, first.Upstream)
+}
--- a/coord/query/shard.go
+++ b/coord/query/shard.go
@@ -16,6 +16,9 @@
 // overdueFactor is how many times longer than the hedging delay an attempt may be silent before a retry is spent on it.
 const overdueFactor = 1.5
 
+// maxHedgedAttempts bounds the attempts of one sub-request that second requests bring it to.
+const maxHedgedAttempts = 6
+
 // replicaUse is what one sub-request knows of one replica.
 type replicaUse struct {
 	id    core.UpstreamID
@@ -69,6 +72,15 @@
 	s.tried = append(s.tried, replicaUse{id: id, count: 1})
 }
 
+func (s *shardState) hasOpen(id core.UpstreamID) bool {
+	for _, a := range s.open {
+		if a.leg.Upstream == id {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *shardState) forget(a *attempt) {
 	if i := slices.Index(s.open, a); i >= 0 {
 		s.open = slices.Delete(s.open, i, i+1)
@@ -145,10 +157,11 @@
 	}
 }
 
-// hedge sends a second request to a replica that the sub-request has not tried yet.
+// hedge sends a second request to a replica that has no open attempt of the sub-request. Selectors prefer those that
+// were not tried.
 func (m *Machine) hedge(now time.Time, index int) {
 	state := &m.shards[index]
-	if len(state.open) == 0 || state.hedged {
+	if len(state.open) == 0 || state.hedged || state.attempts >= maxHedgedAttempts {
 		return
 	}
 	upstream := m.selectFrom(now, m.usable(state, true))
@@ -229,8 +242,9 @@
 }
 
 // usable returns the replicas that may get an attempt: those that hold the pinned version as far as is known, else
-// those that may reach it. The result is valid until the next call.
-func (m *Machine) usable(state *shardState, untried bool) []Candidate {
+// those that may reach it. With idle, replicas with an open attempt are left out. The result is valid until the next
+// call.
+func (m *Machine) usable(state *shardState, idle bool) []Candidate {
 	m.candidates = m.candidates[:0]
 	if state.group == nil {
 		return nil
@@ -240,7 +254,7 @@
 		upstream := &state.group.Upstreams[i]
 		observed := m.cfg.View.State(upstream.ID)
 		use := state.use(upstream.ID)
-		if !m.mayUse(upstream, observed) || use.excluded || (untried && use.count > 0) {
+		if !m.mayUse(upstream, observed) || use.excluded || (idle && state.hasOpen(upstream.ID)) {
 			continue
 		}
 		m.candidates = append(m.candidates, Candidate{
--- a/plugins/peer/websocket/websocket.go
+++ b/plugins/peer/websocket/websocket.go
@@ -45,7 +45,7 @@
 	defaultQueueLength   = 4096
 	defaultQueueBytes    = 16 << 20
 	defaultMaxLinks      = 16_384
-	defaultKeepaliveMS   = 500
+	defaultKeepaliveMS   = 250
 	defaultIdleTimeoutMS = 60_000
 	defaultBackoffMS     = 100
 	defaultMaxBackoffMS  = 2000
@@ -70,7 +70,7 @@
 	// MaxLinks bounds the links that other VMs open to this one. Default 16384.
 	MaxLinks int64 `json:"max_links" validate:"gte=1"`
 	// KeepaliveMS is the time between pings while messages are unconfirmed; a link whose ping is not answered within it
-	// is closed. Default 500.
+	// is closed. Default 250.
 	KeepaliveMS int64 `json:"keepalive_ms" validate:"gte=10,lte=60000"`
 	// IdleTimeoutMS is the silence after which a link that another VM opened is closed, in milliseconds. Default 60000.
 	IdleTimeoutMS int64 `json:"idle_timeout_ms" validate:"gte=10,lte=3600000"`
