Protect listeners and clients by TLS, and bound every listener alike

Cause: all traffic was plain text. The metrics and peer listeners bounded neither connections, headers nor idle time; no listener bounded the reading of an answer; idle connections at the bound kept new callers out.

Settings "tls" turn on TLS 1.3 for callers, operators, metrics, links between VMs (mutual; the certificate must carry the VM's name), the platform and upstreams. One listener package holds the bounds.

--- a/plugins/frontend/http/http.go
+++ b/plugins/frontend/http/http.go
@@ -15,14 +15,19 @@
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
+	"gooseberrylane.example/kernel/tlsconf"
 	"gooseberrylane.example/plugins/frontend/internal/web"
+	"gooseberrylane.example/plugins/internal/listen"
 )
 
 func init() {
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.FrontEnd, Name: "http",
 		Settings: func() any {
-			return &Settings{MaxBodyBytes: defaultMaxBodyBytes, MaxConnections: defaultMaxConnections, BalancerLagMS: defaultBalancerLagMS}
+			return &Settings{
+				MaxBodyBytes: defaultMaxBodyBytes, MaxConnections: defaultMaxConnections, BalancerLagMS: defaultBalancerLagMS,
+				TLS: tlsconf.Defaults(),
+			}
 		},
 		Options: func(s any) fx.Option {
 			return fx.Invoke(func(lc fx.Lifecycle, p params) { newFrontEnd(lc, p, s.(*Settings)) })
@@ -47,8 +52,13 @@
 	// BalancerLagMS is how long the platform's balancer may still send work after the VM is not ready, in milliseconds.
 	// The VM serves during that time and asks callers to close their connections. Default 1000.
 	BalancerLagMS int64 `json:"balancer_lag_ms" validate:"gte=0,lte=600000"`
+	// TLS protects the listener; off by default.
+	TLS tlsconf.Settings `json:"tls"`
 }
 
+// Check implements kernel.Checker.
+func (s *Settings) Check() []kernel.Problem { return s.TLS.CheckListener() }
+
 type params struct {
 	fx.In
 	State      *kernel.State
@@ -62,7 +72,7 @@
 	params
 	settings *Settings
 	handler  http.Handler
-	server   *web.Server
+	server   *listen.Server
 	stopping atomic.Bool
 }
 
@@ -73,7 +83,9 @@
 	router.POST("/v1/query", f.query)
 	router.GET("/v1/ready", f.ready)
 	f.handler = router
-	f.server = web.NewServer(router, settings.Listen, settings.MaxConnections, p.Log)
+	files := tlsconf.New(settings.TLS, p.Log)
+	f.server = listen.NewServer(router, settings.Listen, settings.MaxConnections, files, p.Log)
+	lc.Append(fx.Hook{OnStart: files.Start, OnStop: files.Stop})
 	lc.Append(fx.Hook{OnStart: f.server.Start, OnStop: f.stop})
 	return f
 }
--- a/plugins/frontend/operator/operator.go
+++ b/plugins/frontend/operator/operator.go
@@ -14,14 +14,16 @@
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
+	"gooseberrylane.example/kernel/tlsconf"
 	"gooseberrylane.example/plugins/frontend/internal/web"
+	"gooseberrylane.example/plugins/internal/listen"
 )
 
 func init() {
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.FrontEnd, Name: "operator",
 		Settings: func() any {
-			return &Settings{MaxBodyBytes: defaultMaxBodyBytes, MaxConnections: defaultMaxConnections}
+			return &Settings{MaxBodyBytes: defaultMaxBodyBytes, MaxConnections: defaultMaxConnections, TLS: tlsconf.Defaults()}
 		},
 		Options: func(s any) fx.Option {
 			return fx.Invoke(func(lc fx.Lifecycle, p params) { newFrontEnd(lc, p, s.(*Settings)) })
@@ -46,8 +48,13 @@
 	MaxBodyBytes int64 `json:"max_body_bytes" validate:"gte=1"`
 	// MaxConnections bounds the connections of operators. Default 64.
 	MaxConnections int `json:"max_connections" validate:"gte=1"`
+	// TLS protects the listener; off by default.
+	TLS tlsconf.Settings `json:"tls"`
 }
 
+// Check implements kernel.Checker.
+func (s *Settings) Check() []kernel.Problem { return s.TLS.CheckListener() }
+
 type params struct {
 	fx.In
 	State    *kernel.State
@@ -69,7 +76,9 @@
 func newFrontEnd(lc fx.Lifecycle, p params, settings *Settings) *frontEnd {
 	f := &frontEnd{params: p, settings: settings, key: sha256.Sum256([]byte(settings.Key))}
 	f.handler = f.router()
-	server := web.NewServer(f.handler, settings.Listen, settings.MaxConnections, p.Log)
+	files := tlsconf.New(settings.TLS, p.Log)
+	server := listen.NewServer(f.handler, settings.Listen, settings.MaxConnections, files, p.Log)
+	lc.Append(fx.Hook{OnStart: files.Start, OnStop: files.Stop})
 	lc.Append(fx.Hook{OnStart: server.Start, OnStop: server.Stop})
 	return f
 }
--- /dev/null
+++ b/plugins/internal/listen/listen.go
@@ -0,0 +1,121 @@
+// Package listen is what all HTTP listeners of plug-ins share: bounds on connections, headers and times, and TLS.
+package listen
+
+import (
+	"context"
+	"errors"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"gooseberrylane.example/kernel/tlsconf"
+)
+
+// Limits that every HTTP listener has.
+const (
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 10 * time.Second
+	answerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// Server is one HTTP listener.
+type Server struct {
+	server         *http.Server
+	address        string
+	maxConnections int
+	tls            *tlsconf.Files
+	log            *slog.Logger
+	answerTimeout  time.Duration
+}
+
+// NewServer returns a server that listens on address once started and holds at most maxConnections. tls is nil for plain
+// text.
+func NewServer(handler http.Handler, address string, maxConnections int, tls *tlsconf.Files, log *slog.Logger) *Server {
+	s := &Server{address: address, maxConnections: maxConnections, tls: tls, log: log, answerTimeout: answerTimeout}
+	s.server = &http.Server{
+		Handler: s.boundAnswers(handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog(log),
+	}
+	return s
+}
+
+// Start opens the listener and serves in the background. The error is that of the listener.
+func (s *Server) Start(ctx context.Context) error {
+	_, err := s.Listen(ctx)
+	return err
+}
+
+// Listen is Start and returns the address of the listener.
+func (s *Server) Listen(ctx context.Context) (net.Addr, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.address)
+	if err != nil {
+		return nil, err
+	}
+	limited := newLimitListener(listener, s.maxConnections)
+	s.server.ConnState = limited.idle.track
+	go func() {
+		if err := s.server.Serve(s.tls.Listener(limited)); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("listener_failed", "address", s.address, "error", err.Error())
+		}
+	}()
+	return listener.Addr(), nil
+}
+
+// Stop closes the listener and waits for the requests in flight until ctx ends.
+func (s *Server) Stop(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+// Close ends the listener and all connections that were not taken over.
+func (s *Server) Close() error { return s.server.Close() }
+
+// boundAnswers bounds the time that a client takes to read an answer, from its first byte on. The time that the work
+// takes does not count.
+func (s *Server) boundAnswers(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(&boundedWriter{ResponseWriter: w, timeout: s.answerTimeout}, r)
+	})
+}
+
+type boundedWriter struct {
+	http.ResponseWriter
+	timeout time.Duration
+	started bool
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *boundedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *boundedWriter) WriteHeader(status int) {
+	w.start()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *boundedWriter) Write(data []byte) (int, error) {
+	w.start()
+	return w.ResponseWriter.Write(data)
+}
+
+func (w *boundedWriter) start() {
+	if w.started {
+		return
+	}
+	w.started = true
+	// A writer without a connection, as in tests, has no deadline to set.
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.timeout))
+}
+
+// errorLog writes the messages of net/http, such as failed handshakes, as lines of one event.
+func errorLog(l *slog.Logger) *log.Logger { return log.New(eventWriter{l}, "", 0) }
+
+type eventWriter struct{ log *slog.Logger }
+
+// Write implements io.Writer.
+func (w eventWriter) Write(text []byte) (int, error) {
+	w.log.Warn("connection_refused", "error", string(text[:max(len(text)-1, 0)]))
+	return len(text), nil
+}
--- a/plugins/metrics/expvar/expvar.go
+++ b/plugins/metrics/expvar/expvar.go
@@ -3,24 +3,23 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"log/slog"
-	"net"
 	"net/http"
-	"time"
 
 	"go.uber.org/fx"
 
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
+	"gooseberrylane.example/kernel/tlsconf"
+	"gooseberrylane.example/plugins/internal/listen"
 )
 
 func init() {
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.MetricsKind, Name: "expvar",
-		Settings: func() any { return &Settings{} },
+		Settings: func() any { return &Settings{MaxConnections: defaultMaxConnections, TLS: tlsconf.Defaults()} },
 		Options: func(s any) fx.Option {
 			return fx.Invoke(func(lc fx.Lifecycle, p params) { serve(lc, p, s.(*Settings)) })
 		},
@@ -31,9 +30,16 @@
 type Settings struct {
 	// Listen is the address of GET /debug/vars. Required.
 	Listen string `json:"listen" validate:"required,hostname_port"`
+	// MaxConnections bounds the connections of readers. Default 64.
+	MaxConnections int `json:"max_connections" validate:"gte=1"`
+	// TLS protects the listener; off by default.
+	TLS tlsconf.Settings `json:"tls"`
 }
 
-const headerTimeout = 5 * time.Second
+// Check implements kernel.Checker.
+func (s *Settings) Check() []kernel.Problem { return s.TLS.CheckListener() }
+
+const defaultMaxConnections = 64
 
 type params struct {
 	fx.In
@@ -54,22 +60,10 @@
 		// A caller that goes away while it reads the metrics is not an error.
 		_, _ = w.Write([]byte(vars.String()))
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	lc.Append(fx.Hook{
-		OnStart: func(ctx context.Context) error {
-			listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", settings.Listen)
-			if err != nil {
-				return err
-			}
-			go func() {
-				if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-					p.Log.Error("metrics_listener_failed", "error", err.Error())
-				}
-			}()
-			return nil
-		},
-		OnStop: func(context.Context) error { return server.Close() },
-	})
+	files := tlsconf.New(settings.TLS, p.Log)
+	server := listen.NewServer(mux, settings.Listen, settings.MaxConnections, files, p.Log)
+	lc.Append(fx.Hook{OnStart: files.Start, OnStop: files.Stop})
+	lc.Append(fx.Hook{OnStart: server.Start, OnStop: func(context.Context) error { return server.Close() }})
 }
 
 // viewVars returns the variables of one application. They are not published globally, because one process may run
--- a/plugins/peer/websocket/accept.go
+++ b/plugins/peer/websocket/accept.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/subtle"
+	"crypto/tls"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/coder/websocket"
@@ -52,24 +54,51 @@
 		}
 		idle.Reset(timeout)
 		ps.traffic.received(len(frame))
-		if err := ps.handleFrame(frame, &from); err != nil {
-			ps.Log.Warn("peer_frame_refused", "peer", string(from.Name), "error", err.Error())
+		if err := ps.handleFrame(r.TLS, frame, &from); err != nil {
+			ps.Log.Warn("peer_frame_refused", "peer", string(from.Name), "address", r.RemoteAddr, "error", err.Error())
+			// The close frame tells the sender why.
+			_ = c.Close(websocket.StatusPolicyViolation, closeReason(err))
 			return
 		}
 	}
 }
 
-func (ps *peers) handleFrame(frame []byte, from *core.VM) error {
+// handleFrame passes the messages of a frame on. Before the sender has said who it is, messages are dropped.
+func (ps *peers) handleFrame(secured *tls.ConnectionState, frame []byte, from *core.VM) error {
 	// A VM that sends is reachable again, for example after a pause.
 	ps.dials.succeeded(from.PeerAddress)
-	return ps.decodeFrame(frame, func(h handler, m kinds.Message) {
+	return ps.decodeFrame(frame, func(h handler, m kinds.Message) error {
 		ps.traffic.messagesReceived.Add(1)
 		if first, ok := m.(*hello); ok {
+			if err := first.check(secured); err != nil {
+				return err
+			}
 			*from = core.VM{Name: first.Name, Incarnation: first.Incarnation, Domain: first.Domain, PeerAddress: first.PeerAddress}
-			return
+			return nil
 		}
 		if from.Name != "" {
 			h.handle(*from, m)
 		}
+		return nil
 	})
 }
+
+// check refuses a sender without a proper name, or with a name that its certificate does not carry.
+func (h *hello) check(secured *tls.ConnectionState) error {
+	if h.Name == "" || max(len(h.Name), len(h.Domain)) > maxNameBytes || len(h.PeerAddress) > maxAddressBytes {
+		return core.Errorf(core.CodeBadName, "a name of the sender is empty or too long")
+	}
+	if secured == nil {
+		return nil
+	}
+	if err := secured.PeerCertificates[0].VerifyHostname(string(h.Name)); err != nil {
+		return core.Errorf(core.CodeUnauthorized, "the certificate does not belong to VM %s: %v", h.Name, err)
+	}
+	return nil
+}
+
+// closeReason fits the text of an error into a close frame.
+func closeReason(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxReasonBytes)], "")
+}
--- a/plugins/peer/websocket/codec.go
+++ b/plugins/peer/websocket/codec.go
@@ -16,6 +16,11 @@
 const (
 	maxNesting  = 16
 	maxElements = 131_072
+	// maxNameBytes is the bound that the settings set for names of VMs and failure domains.
+	maxNameBytes    = 64
+	maxAddressBytes = 320
+	// maxReasonBytes is the most that a close frame can hold.
+	maxReasonBytes = 123
 )
 
 // hello is the first message on a link.
@@ -39,7 +44,11 @@
 var decoding = newDecoding()
 
 func newDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxNestedLevels: maxNesting, MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels: maxNesting, MaxArrayElements: maxElements, MaxMapPairs: maxElements,
+		// No VM sends these forms; each would be one more way to write a frame that costs more than its bytes.
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
@@ -54,9 +63,9 @@
 	return cbor.Marshal(envelope{Name: m.MessageName(), Body: body})
 }
 
-// decodeFrame calls handle for each message of a frame. Messages of unknown names are skipped, so that VMs of
+// decodeFrame calls handle for each message of a frame until it fails. Messages of unknown names are skipped, so that VMs of
 // different releases can talk.
-func (ps *peers) decodeFrame(frame []byte, handle func(h handler, m kinds.Message)) error {
+func (ps *peers) decodeFrame(frame []byte, handle func(h handler, m kinds.Message) error) error {
 	decoder := decoding.NewDecoder(bytes.NewReader(frame))
 	for {
 		var e envelope
@@ -74,6 +83,8 @@
 		if err := decoding.Unmarshal(e.Body, value.Interface()); err != nil {
 			return err
 		}
-		handle(h, value.Interface().(kinds.Message))
+		if err := handle(h, value.Interface().(kinds.Message)); err != nil {
+			return err
+		}
 	}
 }
--- a/plugins/peer/websocket/link.go
+++ b/plugins/peer/websocket/link.go
@@ -172,7 +172,10 @@
 	timeout, cancel := context.WithTimeout(l.ctx, 2*l.peers.settings.keepalive())
 	defer cancel()
 	header := http.Header{headerKey: []string{l.peers.settings.Key}, headerTo: []string{string(l.to.Name)}}
-	c, _, err := websocket.Dial(timeout, "ws://"+l.to.PeerAddress+"/v1/peer", &websocket.DialOptions{HTTPClient: l.peers.client, HTTPHeader: header})
+	client := l.peers.newClient(l.to.Name)
+	defer client.CloseIdleConnections()
+	address := l.peers.files.Scheme() + "://" + l.to.PeerAddress + "/v1/peer"
+	c, _, err := websocket.Dial(timeout, address, &websocket.DialOptions{HTTPClient: client, HTTPHeader: header})
 	if err != nil {
 		return nil, err
 	}
--- a/plugins/peer/websocket/traffic.go
+++ b/plugins/peer/websocket/traffic.go
@@ -5,9 +5,13 @@
 	"net/http"
 	"sync/atomic"
 
+	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel/kinds"
 )
 
+// maxHeaderBytes bounds the headers of the answer to the request that opens a link.
+const maxHeaderBytes = 16 << 10
+
 // traffic counts what the links carry. Bytes are those of the messages, without the framing of WebSocket and TCP.
 type traffic struct {
 	messagesSent, framesSent, bytesSent             atomic.Uint64
@@ -40,11 +44,12 @@
 	}
 }
 
-// newClient returns the client that opens links from a source address.
-func newClient(source string) *http.Client {
+// newClient returns the client that opens one link to a VM.
+func (ps *peers) newClient(to core.VMName) *http.Client {
 	dialer := &net.Dialer{}
-	if ip := net.ParseIP(source); ip != nil {
+	if ip := net.ParseIP(ps.settings.SourceAddress); ip != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+	dial := ps.files.Dial(dialer.DialContext, string(to), 0)
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DialTLSContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}}
 }
--- a/plugins/peer/websocket/websocket.go
+++ b/plugins/peer/websocket/websocket.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"maps"
-	"net"
 	"net/http"
 	"reflect"
 	"sync"
@@ -19,6 +17,8 @@
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
+	"gooseberrylane.example/kernel/tlsconf"
+	"gooseberrylane.example/plugins/internal/listen"
 )
 
 func init() {
@@ -29,6 +29,7 @@
 				MaxFrameBytes: defaultMaxFrameBytes, QueueLength: defaultQueueLength, QueueBytes: defaultQueueBytes,
 				MaxLinks: defaultMaxLinks, KeepaliveMS: defaultKeepaliveMS, IdleTimeoutMS: defaultIdleTimeoutMS,
 				BackoffMS: defaultBackoffMS, MaxBackoffMS: defaultMaxBackoffMS,
+				TLS: tlsconf.Defaults(),
 			}
 		},
 		Options: func(s any) fx.Option {
@@ -49,7 +50,8 @@
 	defaultIdleTimeoutMS = 60_000
 	defaultBackoffMS     = 100
 	defaultMaxBackoffMS  = 2000
-	headerTimeout        = 5 * time.Second
+	// handshakeAllowance is the number of connections above MaxLinks that may be open before they are refused.
+	handshakeAllowance = 1024
 )
 
 // Settings of the plug-in.
@@ -81,8 +83,13 @@
 	MaxBackoffMS int64 `json:"max_backoff_ms" validate:"gte=1,lte=60000"`
 	// Key authenticates VMs to each other; every VM has the same. Empty turns authentication off.
 	Key string `json:"key"`
+	// TLS protects the links. Both sides need a certificate with the name of their VM. Off by default.
+	TLS tlsconf.Settings `json:"tls"`
 }
 
+// Check implements kernel.Checker.
+func (s *Settings) Check() []kernel.Problem { return s.TLS.CheckMutual() }
+
 func (s *Settings) keepalive() time.Duration { return time.Duration(s.KeepaliveMS) * time.Millisecond }
 
 type params struct {
@@ -109,7 +116,7 @@
 	params
 	settings *Settings
 	traffic  traffic
-	client   *http.Client
+	files    *tlsconf.Files
 	handlers map[string]handler
 	linkDown []func(kinds.LinkDown)
 	// links is replaced as a whole; senders load it without a lock.
@@ -119,30 +126,36 @@
 	inbound atomic.Int64
 	// stopping is guarded by writers.
 	stopping bool
-	server   *http.Server
+	server   *listen.Server
 	base     context.Context
 	cancel   context.CancelFunc
 	work     sync.WaitGroup
 }
 
 func newPeers(lc fx.Lifecycle, p params, settings *Settings) *peers {
-	ps := &peers{params: p, settings: settings, handlers: make(map[string]handler), client: newClient(settings.SourceAddress)}
+	ps := &peers{params: p, settings: settings, handlers: make(map[string]handler)}
+	ps.files = tlsconf.New(settings.TLS, p.Log)
+	ps.files.RequireName(string(p.Identity.VM))
 	ps.links.Store(&map[core.VMName]*link{})
 	ps.dials.init(settings, p.Random.Generator())
 	ps.base, ps.cancel = context.WithCancel(context.Background())
 	ps.Handle(hello{}, func(core.VM, kinds.Message) {})
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/peer", ps.accept)
+	ps.server = listen.NewServer(mux, settings.Listen, int(settings.MaxLinks)+handshakeAllowance, ps.files, p.Log)
+	lc.Append(fx.Hook{OnStart: ps.files.Start, OnStop: ps.files.Stop})
 	lc.Append(fx.Hook{OnStart: ps.start, OnStop: ps.stop})
 	return ps
 }
 
 func (ps *peers) start(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", ps.settings.Listen)
+	bound, err := ps.server.Listen(ctx)
 	if err != nil {
 		return err
 	}
 	advertise := ps.settings.Advertise
 	if advertise == "" {
-		advertise = listener.Addr().String()
+		advertise = bound.String()
 	}
 	self := core.VM{Name: ps.Identity.VM, Incarnation: ps.Identity.Incarnation, Domain: ps.Identity.Domain, PeerAddress: advertise}
 	ps.State.Update(func(v *core.View) {
@@ -150,14 +163,6 @@
 		members.Self = self
 		v.Members = &members
 	})
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/peer", ps.accept)
-	ps.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	ps.work.Go(func() {
-		if err := ps.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			ps.Log.Error("peer_listener_failed", "error", err.Error())
-		}
-	})
 	return nil
 }
 
--- a/plugins/platform/http/platform.go
+++ b/plugins/platform/http/platform.go
@@ -2,7 +2,9 @@
 package http
 
 import (
+	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,15 +15,16 @@
 	"gooseberrylane.example/coord/circuit"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
+	"gooseberrylane.example/kernel/tlsconf"
 )
 
 func init() {
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.PlatformKind, Name: "http",
-		Settings: func() any { return &Settings{TimeoutMS: defaultTimeoutMS} },
+		Settings: func() any { return &Settings{TimeoutMS: defaultTimeoutMS, TLS: tlsconf.Defaults()} },
 		Options: func(s any) fx.Option {
-			return fx.Provide(func(p params) provided {
-				c := newClient(p, s.(*Settings))
+			return fx.Provide(func(lc fx.Lifecycle, p params) provided {
+				c := newClient(lc, p, s.(*Settings))
 				return provided{Platform: c, Metrics: c.metrics()}
 			})
 		},
@@ -31,6 +34,7 @@
 const (
 	defaultTimeoutMS = 1000
 	maxConnections   = 8
+	maxHeaderBytes   = 64 << 10
 )
 
 // Settings of the plug-in.
@@ -39,12 +43,21 @@
 	Address string `json:"address" validate:"required,hostname_port"`
 	// TimeoutMS bounds one call, in milliseconds; a watch adds its waiting time. Default 1000.
 	TimeoutMS int64 `json:"timeout_ms" validate:"gte=1,lte=60000"`
+	// TLS protects the calls; off by default.
+	TLS tlsconf.Settings `json:"tls"`
+	// TLSServerName is the name that the platform's certificate must carry; empty means the host of Address. Default
+	// empty.
+	TLSServerName string `json:"tls_server_name" validate:"omitempty,max=255,hostname_rfc1123"`
 }
 
+// Check implements kernel.Checker.
+func (s *Settings) Check() []kernel.Problem { return s.TLS.CheckClient() }
+
 type params struct {
 	fx.In
 	Clock  kernel.Clock
 	Random *kernel.Random
+	Log    *slog.Logger
 }
 
 type provided struct {
@@ -67,10 +80,20 @@
 	random  *rand.Rand
 }
 
-func newClient(p params, settings *Settings) *client {
+func newClient(lc fx.Lifecycle, p params, settings *Settings) *client {
+	files := tlsconf.New(settings.TLS, p.Log)
+	lc.Append(fx.Hook{OnStart: files.Start, OnStop: files.Stop})
+	dial := files.Dial((&net.Dialer{}).DialContext, settings.TLSServerName, 0)
 	return &client{
-		params: p, base: "http://" + settings.Address, timeout: time.Duration(settings.TimeoutMS) * time.Millisecond,
-		http:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections}},
+		params: p, base: files.Scheme() + "://" + settings.Address, timeout: time.Duration(settings.TimeoutMS) * time.Millisecond,
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext: dial, DialTLSContext: dial, MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections,
+				MaxResponseHeaderBytes: maxHeaderBytes,
+			},
+			// Calls stay at the address of the settings.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 		random: p.Random.Generator(),
 	}
 }
--- a/plugins/transport/http/conn.go
+++ b/plugins/transport/http/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/tlsconf"
 )
 
 // Headers of the upstream protocol.
@@ -31,6 +32,9 @@
 	headerRefused    = "X-Refused"
 )
 
+// maxHeaderBytes bounds the headers of an answer.
+const maxHeaderBytes = 64 << 10
+
 // conn is one connection to an upstream: a client whose transport is bound to a single connection, so that the pool
 // can open, probe and close each connection by itself.
 type conn struct {
@@ -46,18 +50,20 @@
 	suspect atomic.Bool
 }
 
-func newConn(address string, settings *Settings) *conn {
-	c := &conn{base: "http://" + address, maxBody: settings.MaxAnswerBytes}
-	dialer := &net.Dialer{Timeout: time.Duration(settings.DialTimeoutMS) * time.Millisecond}
+func newConn(address string, settings *Settings, files *tlsconf.Files) *conn {
+	c := &conn{base: files.Scheme() + "://" + address, maxBody: settings.MaxAnswerBytes}
+	timeout := time.Duration(settings.DialTimeoutMS) * time.Millisecond
+	open := files.Dial((&net.Dialer{Timeout: timeout}).DialContext, settings.TLSServerName, timeout)
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := open(ctx, network, addr)
+		if err == nil {
+			c.dialed.Store(true)
+			c.opened.Store(time.Now().UnixNano())
+		}
+		return nc, err
+	}
 	c.transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			nc, err := dialer.DialContext(ctx, network, addr)
-			if err == nil {
-				c.dialed.Store(true)
-				c.opened.Store(time.Now().UnixNano())
-			}
-			return nc, err
-		},
+		DialContext: dial, DialTLSContext: dial, MaxResponseHeaderBytes: maxHeaderBytes,
 		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true,
 	}
 	return c
--- a/plugins/transport/http/http.go
+++ b/plugins/transport/http/http.go
@@ -2,11 +2,14 @@
 package http
 
 import (
+	"log/slog"
+
 	"go.uber.org/fx"
 
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
+	"gooseberrylane.example/kernel/tlsconf"
 )
 
 func init() {
@@ -15,11 +18,16 @@
 		Settings: func() any {
 			return &Settings{
 				DialTimeoutMS: defaultDialTimeoutMS, MaxAnswerBytes: defaultMaxAnswerBytes, CancelGraceMS: defaultCancelGraceMS,
-				KeepaliveMS: defaultKeepaliveMS, ProbeTimeoutMS: defaultProbeTimeoutMS,
+				KeepaliveMS: defaultKeepaliveMS, ProbeTimeoutMS: defaultProbeTimeoutMS, TLS: tlsconf.Defaults(),
 			}
 		},
 		Options: func(s any) fx.Option {
-			return fx.Provide(func() kinds.Transport { return &transport{settings: s.(*Settings)} })
+			return fx.Provide(func(lc fx.Lifecycle, log *slog.Logger) kinds.Transport {
+				settings := s.(*Settings)
+				files := tlsconf.New(settings.TLS, log)
+				lc.Append(fx.Hook{OnStart: files.Start, OnStop: files.Stop})
+				return &transport{settings: settings, files: files}
+			})
 		},
 	})
 }
@@ -46,11 +54,22 @@
 	KeepaliveMS int64 `json:"keepalive_ms" validate:"gte=10,lte=600000"`
 	// ProbeTimeoutMS bounds the answer to the probe of an idle or suspect connection, in milliseconds. Default 250.
 	ProbeTimeoutMS int64 `json:"probe_timeout_ms" validate:"gte=10,lte=60000"`
+	// TLS protects the connections to upstreams; off by default.
+	TLS tlsconf.Settings `json:"tls"`
+	// TLSServerName is the name that the certificates of all upstreams must carry; empty means the host of the address
+	// of each upstream. Default empty.
+	TLSServerName string `json:"tls_server_name" validate:"omitempty,max=255,hostname_rfc1123"`
 }
 
-type transport struct{ settings *Settings }
+// Check implements kernel.Checker.
+func (s *Settings) Check() []kernel.Problem { return s.TLS.CheckClient() }
+
+type transport struct {
+	settings *Settings
+	files    *tlsconf.Files
+}
 
 // Open implements kinds.Transport.
 func (t *transport) Open(upstream core.Upstream, limit int) kinds.Pool {
-	return newPool(upstream, limit, t.settings)
+	return newPool(upstream, limit, t.settings, t.files)
 }
--- a/plugins/transport/http/pool.go
+++ b/plugins/transport/http/pool.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/tlsconf"
 )
 
 // pool holds the connections to one upstream. Free connections form a lock-free stack: the most recently used one is
@@ -13,6 +14,7 @@
 type pool struct {
 	upstream core.Upstream
 	settings *Settings
+	files    *tlsconf.Files
 	limit    int64
 	open     atomic.Int64
 	free     stack
@@ -53,8 +55,8 @@
 	}
 }
 
-func newPool(upstream core.Upstream, limit int, settings *Settings) *pool {
-	return &pool{upstream: upstream, settings: settings, limit: int64(limit), returned: make(chan struct{}, 1)}
+func newPool(upstream core.Upstream, limit int, settings *Settings, files *tlsconf.Files) *pool {
+	return &pool{upstream: upstream, settings: settings, files: files, limit: int64(limit), returned: make(chan struct{}, 1)}
 }
 
 // acquire returns a free connection, or a new one if the limit allows, or waits for one until ctx ends.
@@ -99,7 +101,7 @@
 
 // newConn returns a connection that is opened with its first request. The caller has reserved it.
 func (p *pool) newConn() *conn {
-	c := newConn(p.upstream.Address, p.settings)
+	c := newConn(p.upstream.Address, p.settings, p.files)
 	p.all.Store(c, struct{}{})
 	return c
 }
--- a/plugins/transport/http/silent_test.go
+++ b/plugins/transport/http/silent_test.go
@@ -18,7 +18,7 @@
 	settings := &Settings{
 		DialTimeoutMS: 5000, MaxAnswerBytes: 1 << 20, CancelGraceMS: 200, KeepaliveMS: keepaliveMS, ProbeTimeoutMS: 200,
 	}
-	return server, newPool(core.Upstream{ID: "u", Address: server.Address()}, 16, settings)
+	return server, newPool(core.Upstream{ID: "u", Address: server.Address()}, 16, settings, nil)
 }
 
 func testLeg(sequence uint64, timeout time.Duration) core.Leg {
