Refuse garbage of peers, platform and upstreams, and add TLS flags to the tool

Cause: an upstream that refused with the reason "ok" gave a leg without data the code of a success; a checkpoint with a null service ended the process when it was indexed; answers above their bound were cut instead of refused; bodies could nest 10,000 levels deep and errors repeated whole requests.

--- a/cmd/gooseberrylane/cli/cli.go
+++ b/cmd/gooseberrylane/cli/cli.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/tlsconf"
 )
 
 // Exit statuses. They are the families of the result codes: the thousands digit of the code.
@@ -66,6 +67,7 @@
 	callers   targetList
 	metrics   targetList
 	keyFile   string
+	tls       tlsconf.Settings
 	now       func() time.Time
 }
 
@@ -147,6 +149,9 @@
 	flags.StringVar(&a.output, "o", outputTable, "output `format`: table or json")
 	if takes != 0 {
 		flags.DurationVar(&a.timeout, "timeout", defaultTimeout, "bound of each call")
+		flags.StringVar(&a.tls.CAFile, "tls-ca", "", "`file` with the authorities of the VMs; turns TLS on. Certificates must carry NAME, or HOST without a name")
+		flags.StringVar(&a.tls.CertificateFile, "tls-certificate", "", "`file` with the own certificate, for listeners that want one")
+		flags.StringVar(&a.tls.KeyFile, "tls-key", "", "`file` with the key of the own certificate")
 	}
 	if takes&takesOperators != 0 {
 		flags.Var(&a.operators, "operators", "operator listeners of VMs, as `[NAME=]HOST:PORT,...`")
--- a/cmd/gooseberrylane/cli/client.go
+++ b/cmd/gooseberrylane/cli/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	"time"
 
 	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/tlsconf"
 	"gooseberrylane.example/plugins/frontend/api"
 )
 
@@ -95,7 +97,13 @@
 	if err != nil {
 		return false, err
 	}
-	response, failed := http.DefaultClient.Do(request)
+	client, scheme, err := a.client(to)
+	if err != nil {
+		return false, err
+	}
+	defer client.CloseIdleConnections()
+	request.URL.Scheme = scheme
+	response, failed := client.Do(request)
 	if failed != nil {
 		return false, connectionError(failed)
 	}
@@ -113,6 +121,23 @@
 	return true, nil
 }
 
+// client returns the client for one VM and the scheme of its URLs.
+func (a *app) client(to target) (*http.Client, string, *core.Error) {
+	if problems := a.tls.CheckClient(); len(problems) > 0 {
+		return nil, "", &core.Error{Code: core.CodeBadRequest, Detail: "the TLS flags do not fit together", Problems: problems}
+	}
+	files := tlsconf.New(a.tls, slog.New(slog.DiscardHandler))
+	if err := files.Load(); err != nil {
+		return nil, "", core.Errorf(core.CodeBadRequest, "%v", err)
+	}
+	name := ""
+	if to.name != to.address {
+		name = to.name
+	}
+	dial := files.Dial((&net.Dialer{}).DialContext, name, 0)
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DialTLSContext: dial}}, files.Scheme(), nil
+}
+
 func (a *app) request(ctx context.Context, to target, c call) (*http.Request, *core.Error) {
 	var body io.Reader
 	if c.body != nil {
--- a/kernel/tlsconf/files.go
+++ b/kernel/tlsconf/files.go
@@ -60,6 +60,15 @@
 
 // Start reads the files and looks for changes until Stop. The error is a *core.Error with CodeBadSettings.
 func (f *Files) Start(context.Context) error {
+	if err := f.Load(); f == nil || err != nil {
+		return err
+	}
+	f.work.Go(f.watch)
+	return nil
+}
+
+// Load reads the files once, for programs that end soon. The error is a *core.Error with CodeBadSettings.
+func (f *Files) Load() error {
 	if f == nil {
 		return nil
 	}
@@ -68,7 +77,6 @@
 		return core.Errorf(core.CodeBadSettings, "TLS: %v", err)
 	}
 	f.current.Store(first)
-	f.work.Go(f.watch)
 	return nil
 }
 
--- a/plugins/configuration/log/store.go
+++ b/plugins/configuration/log/store.go
@@ -71,14 +71,22 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := io.ReadAll(io.LimitReader(r, maxSetBytes))
+	raw, err := io.ReadAll(io.LimitReader(r, maxSetBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(raw) > maxSetBytes {
+		return nil, core.Errorf(core.CodeBodyTooLarge, "the set is larger than %d bytes", maxSetBytes)
+	}
 	var set core.ConfigSet
 	if err := json.Unmarshal(raw, &set); err != nil {
 		return nil, err
 	}
+	for name, service := range set.Services {
+		if service == nil {
+			return nil, core.Errorf(core.CodeBadRequest, "service %q is null", name)
+		}
+	}
 	return &set, nil
 }
 
--- /dev/null
+++ b/plugins/dispatch/owner/fuzz_test.go
@@ -0,0 +1,39 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"gooseberrylane.example/core"
+)
+
+// FuzzMessages guards against a message of a peer that ends the process when it becomes legs or results.
+func FuzzMessages(f *testing.F) {
+	for _, m := range []any{
+		legsMessage{Service: "s", Request: "r", NotAfterUS: 1, Legs: []wireLeg{{Sequence: 1, Shard: "a", Upstream: "u"}}},
+		resultsMessage{Started: 1, Results: []wireResult{{Sequence: 1, TookUS: -1 << 63}}},
+		cancelMessage{Sequences: []uint64{1}},
+	} {
+		raw, err := cbor.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		var legs legsMessage
+		if cbor.Unmarshal(raw, &legs) == nil {
+			for i := range legs.Legs {
+				_ = legs.leg(i)
+			}
+		}
+		var results resultsMessage
+		if cbor.Unmarshal(raw, &results) == nil {
+			for i := range results.Results {
+				_ = results.Results[i].result(core.AttemptID{})
+			}
+		}
+		_ = cbor.Unmarshal(raw, new(cancelMessage))
+	})
+}
--- a/plugins/frontend/http/query.go
+++ b/plugins/frontend/http/query.go
@@ -14,7 +14,10 @@
 	"gooseberrylane.example/plugins/frontend/internal/web"
 )
 
-const maxShardsNamed = 100_000
+const (
+	maxShardsNamed = 100_000
+	maxNameBytes   = 128
+)
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
 
@@ -125,6 +128,13 @@
 	if len(body.Shards) > maxShardsNamed {
 		add("shards", "more than %d shards", maxShardsNamed)
 	}
+	for i, shard := range body.Shards {
+		if len(shard) > maxNameBytes {
+			add(fmt.Sprintf("shards[%d]", i), "longer than %d bytes", maxNameBytes)
+			// One is enough to refuse the request; a list of all could be long.
+			break
+		}
+	}
 	if len(problems) == 0 {
 		return nil
 	}
--- a/plugins/frontend/http/query_test.go
+++ b/plugins/frontend/http/query_test.go
@@ -60,6 +60,8 @@
 		{`{"service":"s","request_id":"r","idempotent":true}x`, core.CodeBadRequest, nil},
 		{`{"service":"t","request_id":"r","idempotent":true}`, core.CodeUnknownService, nil},
 		{`{"service":"s","request_id":"r","idempotent":true,"timeout_ms":5000}`, core.CodeBadDeadline, nil},
+		{`{"service":"s","request_id":"r","idempotent":true,"payload":` + strings.Repeat("[", 500) + strings.Repeat("]", 500) + `}`, core.CodeBadRequest, nil},
+		{`{"service":"s","request_id":"r","idempotent":true,"shards":["` + strings.Repeat("x", 129) + `"]}`, core.CodeBadRequest, []string{"shards[0]"}},
 		{`{"payload":"` + strings.Repeat("x", 2048) + `"}`, core.CodeBodyTooLarge, nil},
 	}
 	for _, test := range tests {
--- a/plugins/frontend/internal/web/body.go
+++ b/plugins/frontend/internal/web/body.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -16,6 +17,13 @@
 	"gooseberrylane.example/plugins/frontend/api"
 )
 
+const (
+	// maxNesting bounds the depth of a body; payloads are passed on to upstreams, whose decoders may use recursion.
+	maxNesting = 128
+	// maxDetailBytes bounds what an error repeats of a request.
+	maxDetailBytes = 1024
+)
+
 // ReadJSON decodes the body of a request, which must be one JSON value of at most limit bytes without unknown fields.
 // The error is a *core.Error with CodeBodyTooLarge or CodeBadRequest.
 func ReadJSON(c *gin.Context, limit int64, target any) error {
@@ -33,6 +41,9 @@
 // Decode decodes one JSON value and refuses unknown fields and trailing text. The error is a *core.Error with
 // CodeBadRequest.
 func Decode(raw []byte, target any) error {
+	if nesting(raw) > maxNesting {
+		return core.Errorf(core.CodeBadRequest, "nested deeper than %d levels", maxNesting)
+	}
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
@@ -44,17 +55,37 @@
 	return nil
 }
 
+// nesting returns the depth of the objects and lists of a JSON text.
+func nesting(raw []byte) int {
+	depth, deepest, inText := 0, 0, false
+	for i := 0; i < len(raw); i++ {
+		switch b := raw[i]; {
+		case b == '"':
+			inText = !inText
+		case inText && b == '\\':
+			i++
+		case !inText && (b == '{' || b == '['):
+			depth++
+			deepest = max(deepest, depth)
+		case !inText && (b == '}' || b == ']'):
+			depth--
+		}
+	}
+	return deepest
+}
+
 // WriteError answers a request with the body of an error. An error that is no *core.Error becomes CodeInternal.
 func WriteError(c *gin.Context, err error, retryAfter time.Duration) {
 	var coded *core.Error
 	if !errors.As(err, &coded) {
 		coded = core.Errorf(core.CodeInternal, "%v", err)
 	}
+	detail := strings.ToValidUTF8(coded.Detail[:min(len(coded.Detail), maxDetailBytes)], "")
 	if retryAfter > 0 {
 		c.Header("Retry-After", strconv.FormatInt(int64(math.Ceil(retryAfter.Seconds())), 10))
 	}
 	c.AbortWithStatusJSON(StatusOf(coded.Code), api.ErrorBody{
-		Code: coded.Code, Name: coded.Code.String(), Meaning: coded.Code.Meaning(), Detail: coded.Detail,
+		Code: coded.Code, Name: coded.Code.String(), Meaning: coded.Code.Meaning(), Detail: detail,
 		Problems: coded.Problems, RetryAfterMS: retryAfter.Milliseconds(),
 	})
 }
--- a/plugins/platform/http/calls.go
+++ b/plugins/platform/http/calls.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -20,6 +21,9 @@
 // maxAnswerBytes bounds an answer of the platform: a list holds many values of up to 1 MB.
 const maxAnswerBytes = 64 << 20
 
+// maxNameBytes is the bound that the settings set for names of VMs and failure domains.
+const maxNameBytes = 64
+
 // call is one HTTP call to the platform.
 type call struct {
 	method, path string
@@ -55,7 +59,10 @@
 		return nil, 0, callError(k.method, err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if len(body) > maxAnswerBytes {
+		err = core.Errorf(core.CodeBodyTooLarge, "the answer is larger than %d bytes", maxAnswerBytes)
+	}
 	c.report(err == nil && response.StatusCode < http.StatusInternalServerError)
 	if err != nil {
 		return nil, 0, callError(k.method, err)
@@ -147,6 +154,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return decodeObjects(body)
+}
+
+func decodeObjects(body []byte) ([]kinds.Object, error) {
 	var listed []wireObject
 	if err := json.Unmarshal(body, &listed); err != nil {
 		return nil, core.Errorf(core.CodePlatformUnavailable, "the answer could not be read: %v", err)
@@ -164,9 +175,16 @@
 	if err != nil {
 		return nil, err
 	}
+	return decodeVMs(body)
+}
+
+// decodeVMs leaves out entries that cannot name a VM, so that one of them does not hide the others.
+func decodeVMs(body []byte) ([]kinds.ListedVM, error) {
 	var vms []kinds.ListedVM
 	if err := json.Unmarshal(body, &vms); err != nil {
 		return nil, core.Errorf(core.CodePlatformUnavailable, "the answer could not be read: %v", err)
 	}
-	return vms, nil
+	return slices.DeleteFunc(vms, func(vm kinds.ListedVM) bool {
+		return vm.Name == "" || max(len(vm.Name), len(vm.Domain)) > maxNameBytes
+	}), nil
 }
--- a/plugins/transport/http/conn.go
+++ b/plugins/transport/http/conn.go
@@ -150,19 +150,23 @@
 
 // refusal maps the reason that an upstream names for a request that it did not run.
 func refusal(reason string) core.Code {
-	switch code, ok := core.CodeByName(reason); {
-	case !ok:
-		return core.CodeNotRun
-	default:
+	code, ok := core.CodeByName(reason)
+	if ok && (code.IsNotRun() || code == core.CodeShed || code == core.CodeVersionMissing) {
 		return code
 	}
+	// A code of another family, such as ok, would contradict the outcome.
+	return core.CodeNotRun
 }
 
 func window(h http.Header) core.Window {
-	return core.Window{
+	w := core.Window{
 		Oldest: core.IndexVersion(headerUint(h, headerOldest)),
 		Newest: core.IndexVersion(headerUint(h, headerNewest)),
 	}
+	if w.Oldest > w.Newest {
+		return core.Window{}
+	}
+	return w
 }
 
 func headerUint(h http.Header, name string) uint64 {
