--- a/plugins/peer/websocket/websocket.go
+++ b/plugins/peer/websocket/websocket.go
@@ -199,14 +199,16 @@
 	if int64(len(frame)) > ps.settings.MaxFrameBytes {
 		return core.Errorf(core.CodeBodyTooLarge, "message %s of %d bytes", m.MessageName(), len(frame))
 	}
+	waiting := &item{message: m, frame: frame}
 	for {
 		l := (*ps.links.Load())[to.Name]
 		if l == nil || !l.serves(to) || l.isDown() {
-			if l, err = ps.openLink(to); err != nil {
+			var opened bool
+			if l, opened, err = ps.openLink(to, waiting); err != nil || opened {
 				return err
 			}
 		}
-		err := l.enqueue(ctx, &item{message: m, frame: frame})
+		err := l.enqueue(ctx, waiting)
 		// The link ended between the look-up and the send: the next one may work.
 		if err != errLinkEnded || ctx.Err() != nil {
 			return err
@@ -214,22 +216,26 @@
 	}
 }
 
-// openLink returns the link to a VM, and starts one if there is none that works.
-func (ps *peers) openLink(to core.VM) (*link, error) {
+// openLink returns the link to a VM. If there is none that works, it starts one with a first message, and opened is true.
+func (ps *peers) openLink(to core.VM, first *item) (l *link, opened bool, err error) {
 	ps.writers.Lock()
 	defer ps.writers.Unlock()
 	if ps.stopping {
-		return nil, core.Errorf(core.CodeUnreachable, "the VM is stopping")
+		return nil, false, core.Errorf(core.CodeUnreachable, "the VM is stopping")
 	}
 	current := *ps.links.Load()
 	old := current[to.Name]
 	if old != nil && old.serves(to) && !old.isDown() {
-		return old, nil
+		return old, false, nil
 	}
 	if !ps.dials.allow(ps.Clock.Now(), to.PeerAddress) {
-		return nil, core.Errorf(core.CodeUnreachable, "the last dial to %s failed", to.Name)
+		return nil, false, core.Errorf(core.CodeUnreachable, "the last dial to %s failed", to.Name)
 	}
-	l := newLink(ps, to)
+	l = newLink(ps, to)
+	if l.queue.push(first) != pushed {
+		return nil, false, core.Errorf(core.CodeUnreachable, "the message is larger than the queue of a link")
+	}
+	ps.traffic.messagesSent.Add(1)
 	next := maps.Clone(current)
 	next[to.Name] = l
 	ps.links.Store(&next)
@@ -237,7 +243,7 @@
 		old.stop(errRetired)
 	}
 	ps.work.Go(l.run)
-	return l, nil
+	return l, true, nil
 }
 
 func (ps *peers) reportDown(down kinds.LinkDown) {
--- a/plugins/peer/websocket/websocket_test.go
+++ b/plugins/peer/websocket/websocket_test.go
@@ -108,7 +108,16 @@
 	c.Check(down.Refused, qt.IsFalse)
 	c.Check(down.Unconfirmed[len(down.Unconfirmed)-1], qt.Equals, kinds.Message(note{"swallowed"}))
 	c.Assert(a.Send(context.Background(), to, note{"after"}), qt.IsNil)
-	c.Assert(<-b.received, qt.Equals, "after")
+	select {
+	case text := <-b.received:
+		c.Assert(text, qt.Equals, "after")
+	case late := <-a.down:
+		// The message came between the report and the end of the old link, and is reported as not delivered.
+		c.Assert(late.Undelivered, qt.DeepEquals, []kinds.Message{note{"after"}})
+		c.Assert(late.Written, qt.IsFalse)
+		c.Assert(a.Send(context.Background(), to, note{"again"}), qt.IsNil)
+		c.Assert(<-b.received, qt.Equals, "again")
+	}
 }
 
 // TestLinkFollowsReplacedVM guards against messages to the old address of a replaced VM, and against messages to
