--- a/bench/capacity/configuration.go
+++ b/bench/capacity/configuration.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"runtime"
 
 	"gooseberrylane.example/coord/config"
 	"gooseberrylane.example/core"
@@ -70,10 +71,12 @@
 	figures["index_bytes"] = heapOf(func() any { return set.Index() })
 	state := kernel.NewState()
 	figures["states_bytes"] = heapOf(func() any { state.SetConfig(set); return state })
-	f := newFleet(largeDomain, 0, seed)
+	f := newFleet(largeDomain, largeMembers-largeDomain, seed)
 	var owned *core.Ownership
 	figures["machine_bytes"] = heapOf(func() any { f.agent.Configure(f.now, set); return f })
 	figures["ownership_bytes"] = heapOf(func() any { owned = f.agent.Machine().Ownership(f.now); return owned })
+	runtime.KeepAlive(state)
+	runtime.KeepAlive(owned)
 	total := 0.0
 	for _, value := range figures {
 		total += value
--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -68,13 +68,13 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// heapOf returns the bytes that what build returns keeps alive.
+// heapOf returns the bytes that what build returns keeps alive, less what build lets go of.
 func heapOf(build func() any) float64 {
 	before := heap()
 	kept := build()
 	after := heap()
 	runtime.KeepAlive(kept)
-	return max(float64(after)-float64(before), 0)
+	return float64(after) - float64(before)
 }
 
 func heap() uint64 {
--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"time"
 
+	"gooseberrylane.example/bench/capacity"
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/standins/deployment"
 )
@@ -88,6 +89,8 @@
 	Experiments []*experiment     `json:"experiments"`
 	// CPURatio is the CPU time of a sub-request in the tier over that in the bare fan-out, from the slopes over shards.
 	CPURatio float64 `json:"cpu_ratio"`
+	// Capacity holds the slopes of state and control of one VM up to the large size, measured in this process.
+	Capacity []*capacity.Experiment `json:"capacity"`
 }
 
 // slopes measures one series after the other.
@@ -113,6 +116,10 @@
 		e.fitAll()
 	}
 	m.report.CPURatio = cpuRatio(m.report.Experiments)
+	var err error
+	if m.report.Capacity, err = capacity.Run(ctx, capacity.LargeSizes(), o.seed, os.Stderr); err != nil {
+		return err
+	}
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(m.report)
--- a/plugins/peer/websocket/link.go
+++ b/plugins/peer/websocket/link.go
@@ -165,6 +165,7 @@
 func (l *link) ping(ctx context.Context, c *websocket.Conn) error {
 	ctx, cancel := context.WithTimeout(ctx, l.peers.settings.keepalive())
 	defer cancel()
+	l.peers.traffic.pingsSent.Add(1)
 	return c.Ping(ctx)
 }
 
--- a/plugins/peer/websocket/traffic.go
+++ b/plugins/peer/websocket/traffic.go
@@ -16,7 +16,7 @@
 type traffic struct {
 	messagesSent, framesSent, bytesSent             atomic.Uint64
 	messagesReceived, framesReceived, bytesReceived atomic.Uint64
-	linksOpened                                     atomic.Uint64
+	linksOpened, pingsSent                          atomic.Uint64
 }
 
 func (t *traffic) sent(bytes int) {
@@ -41,6 +41,7 @@
 		metric("peer_frames_received", &t.framesReceived),
 		metric("peer_bytes_received", &t.bytesReceived),
 		metric("peer_links_opened", &t.linksOpened),
+		metric("peer_pings_sent", &t.pingsSent),
 	}
 }
 
