--- a/plugins/peer/websocket/security_test.go
+++ b/plugins/peer/websocket/security_test.go
@@ -22,10 +22,6 @@
 	"gooseberrylane.example/kernel/tlsconf/tlstest"
 )
 
-type note struct{ Text string }
-
-func (note) MessageName() string { return "note" }
-
 // vm is a VM with a peer listener, the notes that arrive, the ends of its links, and its log.
 type vm struct {
 	*peers
--- a/plugins/transport/http/idle_bench_test.go
+++ b/plugins/transport/http/idle_bench_test.go
@@ -37,7 +37,7 @@
 		b.Fatal(err)
 	}
 	settings := &Settings{DialTimeoutMS: 250, MaxAnswerBytes: 1 << 20, CancelGraceMS: 50, KeepaliveMS: 1000, ProbeTimeoutMS: 250}
-	p := newPool(core.Upstream{ID: "u", Address: server.Address()}, 2*requestsPerRound, settings)
+	p := newPool(core.Upstream{ID: "u", Address: server.Address()}, 2*requestsPerRound, settings, nil)
 	p.Warm(context.Background(), requestsPerRound)
 	if closeFirst {
 		p.CloseIdle()
