--- a/test/membership/membership_test.go
+++ b/test/membership/membership_test.go
@@ -131,6 +131,7 @@
 	var proxy *faultproxy.Proxy
 	cl := start(c, 6, func(vm *harness.VM, settings *deployment.Settings) {
 		withHeartbeats(vm, settings)
+		settings.Set("peer", "websocket", map[string]any{"listen": vm.Peer, "idle_timeout_ms": 2000})
 		if vm.Name != "vm-1" {
 			return
 		}
