Keep the machine alive while the memory of the ownership is measured

The memory of the ownership came out as -17 MB at 90,000 upstreams, because the collector freed the fleet first.

--- a/bench/capacity/configuration.go
+++ b/bench/capacity/configuration.go
@@ -75,6 +75,7 @@
 	var owned *core.Ownership
 	figures["machine_bytes"] = heapOf(func() any { f.agent.Configure(f.now, set); return f })
 	figures["ownership_bytes"] = heapOf(func() any { owned = f.agent.Machine().Ownership(f.now); return owned })
+	runtime.KeepAlive(f)
 	runtime.KeepAlive(state)
 	runtime.KeepAlive(owned)
 	total := 0.0
