Let a refused leg find the new owner when the VM that was asked has left

Cause: a VM whose dispatcher was closed refused legs with not_owner and named nobody, and the sender gave up although its own view knew the successor by then. Ruled out: the wait at the VM that takes over, which was 4 s in the test.

The refusal names the believed owner, and without a name the sender asks its own view.

--- a/plugins/dispatch/owner/owner.go
+++ b/plugins/dispatch/owner/owner.go
@@ -184,6 +184,10 @@
 		return
 	}
 	d.hints.forget(p.leg.Upstream, p.vm.Name)
+	if result.Owner == "" {
+		// The VM that was asked knows no better one; the own belief may have changed since the leg was sent.
+		result.Owner = d.State.Load().Ownership.Owner.Value(p.leg.Upstream)
+	}
 	if result.Owner == "" || result.Owner == p.vm.Name || p.follows >= d.settings.MaxFollows || p.ctx.Err() != nil {
 		p.deliver(result)
 		return
@@ -283,7 +287,7 @@
 		if !begun {
 			d.running.Delete(key)
 			cancel()
-			d.refuse(from, m.Started, leg.Attempt)
+			d.refuse(from, m.Started, &leg)
 		}
 	}
 }
@@ -297,12 +301,15 @@
 	return wire
 }
 
-// refuse answers a leg that arrived while this VM stops. The refusal is lost when the link has ended already; the other
-// VM then treats the leg as one whose outcome is unknown.
-func (d *dispatcher) refuse(to core.VM, started core.Incarnation, attempt core.AttemptID) {
-	result := core.LegResult{Attempt: attempt, Outcome: core.OutcomeNotRun, Code: core.CodeNotOwner}
+// refuse answers a leg that arrived while this VM stops, and names the VM that took over if it is known. The refusal is
+// lost when the link has ended already; the other VM then treats the leg as one whose outcome is unknown.
+func (d *dispatcher) refuse(to core.VM, started core.Incarnation, leg *core.Leg) {
+	result := core.LegResult{Attempt: leg.Attempt, Outcome: core.OutcomeNotRun, Code: core.CodeNotOwner}
+	if owner := d.State.Load().Ownership.Owner.Value(leg.Upstream); owner != d.Identity.VM {
+		result.Owner = owner
+	}
 	go func() {
-		_ = d.Peers.Send(d.base, to, resultsMessage{Started: started, Results: []wireResult{encodeResult(result)}})
+		_ = d.Peers.Send(d.base, to, resultsMessage{Started: started, Results: []wireResult{d.encode(result)}})
 	}()
 }
 
