Fuzz the messages of membership and configuration, and refuse times that wrap around

Cause: an age of news above the range of a duration wrapped around to news of the future, which hides that a configuration is old, and a time of an attempt below 0 reached the learned latency.

Fuzzing for 10 s each found no input that ends the process.

--- a/plugins/configuration/log/fuzz_test.go
+++ b/plugins/configuration/log/fuzz_test.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"math"
 	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
 
 	"gooseberrylane.example/coord/config"
 	"gooseberrylane.example/core"
@@ -58,3 +62,35 @@
 		}
 	})
 }
+
+// FuzzMessages guards against a message of a peer that ends the process, or that tells news of the future.
+func FuzzMessages(f *testing.F) {
+	for _, m := range []any{
+		revisionMessage{NewsAgeMS: 1}, revisionMessage{NewsAgeMS: math.MaxInt64 / 3}, changesMessage{Changes: [][]byte{{'{'}}}, setMessage{Data: zipped("{}")},
+	} {
+		raw, err := cbor.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	now := time.Unix(1_000_000_000, 0)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var revision revisionMessage
+		if cbor.Unmarshal(raw, &revision) == nil {
+			if at, ok := revision.news(now); ok && at.After(now) {
+				t.Fatalf("news of %v, now is %v", at, now)
+			}
+		}
+		var changes changesMessage
+		if cbor.Unmarshal(raw, &changes) == nil {
+			for _, change := range changes.Changes {
+				_, _ = decodeChange(change)
+			}
+		}
+		var set setMessage
+		if cbor.Unmarshal(raw, &set) == nil {
+			_, _ = decodeSet(set.Data)
+		}
+	})
+}
--- a/plugins/configuration/log/messages.go
+++ b/plugins/configuration/log/messages.go
@@ -1,6 +1,7 @@
 package log
 
 import (
+	"math"
 	"time"
 
 	"gooseberrylane.example/core"
@@ -92,9 +93,13 @@
 	return m
 }
 
+// maxNewsAgeMS is the most that a duration holds, in milliseconds. More would wrap around to news of the future, which hide
+// that the configuration is old.
+const maxNewsAgeMS = math.MaxInt64 / int64(time.Millisecond)
+
 // news returns the time of the news that a message tells, or false when it tells none.
 func (m *revisionMessage) news(now time.Time) (time.Time, bool) {
-	if m.NewsAgeMS < 0 {
+	if m.NewsAgeMS < 0 || m.NewsAgeMS > maxNewsAgeMS {
 		return time.Time{}, false
 	}
 	return now.Add(-millis(m.NewsAgeMS)), true
--- a/plugins/dispatch/owner/fuzz_test.go
+++ b/plugins/dispatch/owner/fuzz_test.go
@@ -8,7 +8,8 @@
 	"gooseberrylane.example/core"
 )
 
-// FuzzMessages guards against a message of a peer that ends the process when it becomes legs or results.
+// FuzzMessages guards against a message of a peer that ends the process when it becomes legs or results, or
+// that reports a negative time.
 func FuzzMessages(f *testing.F) {
 	for _, m := range []any{
 		legsMessage{Service: "s", Request: "r", NotAfterUS: 1, Legs: []wireLeg{{Sequence: 1, Shard: "a", Upstream: "u"}}},
@@ -21,7 +22,7 @@
 		}
 		f.Add(raw)
 	}
-	f.Fuzz(func(_ *testing.T, raw []byte) {
+	f.Fuzz(func(t *testing.T, raw []byte) {
 		var legs legsMessage
 		if cbor.Unmarshal(raw, &legs) == nil {
 			for i := range legs.Legs {
@@ -31,7 +32,9 @@
 		var results resultsMessage
 		if cbor.Unmarshal(raw, &results) == nil {
 			for i := range results.Results {
-				_ = results.Results[i].result(core.AttemptID{})
+				if got := results.Results[i].result(core.AttemptID{}); got.Took < 0 {
+					t.Fatalf("took %v", got.Took)
+				}
 			}
 		}
 		_ = cbor.Unmarshal(raw, new(cancelMessage))
--- a/plugins/dispatch/owner/messages.go
+++ b/plugins/dispatch/owner/messages.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"time"
 
 	"gooseberrylane.example/core"
@@ -103,6 +104,14 @@
 	return core.LegResult{
 		Attempt: attempt, Outcome: r.Outcome, Code: r.Code, Version: r.Version,
 		Window: core.Window{Oldest: r.Oldest, Newest: r.Newest}, Data: r.Data, Draining: r.Draining, Owner: r.Owner,
-		Took: time.Duration(r.TookUS) * time.Microsecond,
+		Took: took(r.TookUS),
 	}
 }
+
+// took returns a time in microseconds, or 0 for one that no attempt can take, which would spoil the learned latency.
+func took(micros int64) time.Duration {
+	if micros < 0 || micros > math.MaxInt64/int64(time.Microsecond) {
+		return 0
+	}
+	return time.Duration(micros) * time.Microsecond
+}
