--- a/plugins/configuration/static/static.go
+++ b/plugins/configuration/static/static.go
@@ -2,6 +2,8 @@
 package static
 
 import (
+	"fmt"
+
 	"go.uber.org/fx"
 
 	"gooseberrylane.example/core"
@@ -25,6 +27,17 @@
 	Services []*core.Service `json:"services" validate:"required"`
 }
 
+// Check implements kernel.Checker.
+func (s *Settings) Check() []kernel.Problem {
+	var problems []kernel.Problem
+	for i, service := range s.Services {
+		if service == nil {
+			problems = append(problems, kernel.Problem{Path: fmt.Sprintf("services[%d]", i), Detail: "want a service, got null"})
+		}
+	}
+	return problems
+}
+
 type configuration struct{ state *kernel.State }
 
 func newConfiguration(state *kernel.State, settings *Settings) kinds.Configuration {
--- /dev/null
+++ b/plugins/configuration/static/static_test.go
@@ -0,0 +1,18 @@
+package static
+
+import (
+	"encoding/json"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestNullServiceIsRefused guards against settings that end the daemon with a panic instead of a problem and its path.
+func TestNullServiceIsRefused(t *testing.T) {
+	c := qt.New(t)
+	var settings Settings
+	c.Assert(json.Unmarshal([]byte(`{"services":[{"name":"s"},null]}`), &settings), qt.IsNil)
+	problems := settings.Check()
+	c.Assert(problems, qt.HasLen, 1)
+	c.Check(problems[0].Path, qt.Equals, "services[1]")
+}
