Test that a VM refuses links with a foreign certificate

Cause: the test only covered a dialing VM that does not trust the other; the check of the accepting VM was not reached.

--- a/plugins/peer/websocket/security_test.go
+++ b/plugins/peer/websocket/security_test.go
@@ -78,6 +78,14 @@
 	c.Check((<-foreign.downs).Written, qt.IsFalse)
 	c.Check(foreign.logged(), qt.Contains, "certificate signed by unknown authority")
 
+	// This one trusts the others, so that only they can refuse it.
+	mixed := tlstest.New(t).Write(c.TempDir(), "m")
+	mixed.CAFile = authority.Write(c.TempDir(), "m").CAFile
+	trusting := startVM(t, "m", mixed)
+	c.Assert(trusting.Send(context.Background(), b.self(), note{"foreign"}), qt.IsNil)
+	c.Check((<-trusting.downs).Written, qt.IsFalse)
+	c.Check(trusting.logged(), qt.Contains, "remote error: tls: unknown certificate authority")
+
 	// A certificate of the right authority does not give the name of another VM.
 	thief := startVM(t, "t", authority.Write(c.TempDir(), "t"))
 	thief.State.Update(func(view *core.View) {
