Keep a slot until the upstream has surely ended a leg

A leg that was given up at its deadline gave its slot back at that instant, while the upstream ends it a moment later; a cancellation can be confirmed before the upstream has read the request. Both are races of well under 100 ms, found by reading; the single count could not be traced to one of them.

The slot now stays taken 100 ms longer in both cases.

--- a/plugins/executor/slots/target.go
+++ b/plugins/executor/slots/target.go
@@ -13,6 +13,11 @@
 )
 
 // waiter is a leg that waits for a slot. done receives CodeOK with a slot, or the code of the refusal.
+// endGrace covers the way of a request that the upstream has not read yet when it confirms a cancellation, and the
+// difference between the timers of both sides at a deadline. Without it upstreams saw a request above their slots under
+// overload.
+const endGrace = 100 * time.Millisecond
+
 type waiter struct{ done chan core.Code }
 
 // target is one held upstream: its slots, its bounded queue and its connections. A leg that finds a free slot and an
@@ -21,6 +26,8 @@
 	upstream core.Upstream
 	pool     kinds.Pool
 	clock    kernel.Clock
+	// endGrace is the time that the upstream needs to end work after its deadline or its cancellation.
+	endGrace time.Duration
 	free     atomic.Int64
 	queued   atomic.Int64
 	closing  atomic.Bool
@@ -40,7 +47,7 @@
 
 func newTarget(upstream core.Upstream, pool kinds.Pool, clock kernel.Clock, queuePerSlot int) *target {
 	t := &target{
-		upstream: upstream, pool: pool, clock: clock, returned: make(chan struct{}, 1), drained: make(chan struct{}),
+		upstream: upstream, pool: pool, clock: clock, endGrace: endGrace, returned: make(chan struct{}, 1), drained: make(chan struct{}),
 		queue: limit.NewQueue[*waiter](queuePerSlot*upstream.Slots, limit.EarliestDeadline),
 	}
 	t.free.Store(int64(upstream.Slots))
@@ -64,15 +71,27 @@
 	if result.Code == core.CodeOK {
 		t.estimate.Observe(ended.Sub(started))
 	}
-	if left := leg.NotAfter.Sub(ended); result.Outcome == core.OutcomeUnknown && !result.Stopped && left > 0 {
-		// The upstream may still work on the leg until its deadline.
-		time.AfterFunc(left, t.put)
+	if wait := t.busyFor(leg, &result, ended); wait > 0 {
+		time.AfterFunc(wait, t.put)
 	} else {
 		t.put()
 	}
 	return result
 }
 
+// busyFor returns how long the upstream may still work on a leg that has ended here: until its deadline, or only until a
+// cancellation that it confirmed has taken effect.
+func (t *target) busyFor(leg *core.Leg, result *core.LegResult, ended time.Time) time.Duration {
+	switch {
+	case result.Outcome != core.OutcomeUnknown:
+		return 0
+	case result.Stopped:
+		return t.endGrace
+	default:
+		return leg.NotAfter.Sub(ended) + t.endGrace
+	}
+}
+
 // take returns CodeOK with a slot, or the code of the refusal.
 func (t *target) take(ctx context.Context, leg *core.Leg) core.Code {
 	if t.queued.Load() > 0 || !t.takeFree() {
--- a/plugins/executor/slots/target_test.go
+++ b/plugins/executor/slots/target_test.go
@@ -106,6 +106,7 @@
 func TestSlotStaysTakenWhileTheUpstreamMayWork(t *testing.T) {
 	c := qt.New(t)
 	held, pool := newTestTarget(1)
+	held.endGrace = 0
 	for stopped, free := range map[bool]int64{true: 1, false: 0} {
 		go func() { pool.finish <- core.LegResult{Code: core.CodeConnectionLost, Stopped: stopped} }()
 		held.free.Store(1)
@@ -114,6 +115,19 @@
 	}
 }
 
+// TestSlotOutlastsTheDeadline guards against a request above the slots when the upstream ends a leg a moment after the
+// deadline at which the VM gave it up, or reads it only after it confirmed its cancellation.
+func TestSlotOutlastsTheDeadline(t *testing.T) {
+	c := qt.New(t)
+	held, _ := newTestTarget(1)
+	leg := legWith(0, time.Second)
+	unknown := &core.LegResult{Code: core.CodeDeadlineExceeded}
+	c.Check(held.busyFor(leg, unknown, leg.NotAfter), qt.Equals, endGrace)
+	c.Check(held.busyFor(leg, unknown, start), qt.Equals, time.Second+endGrace)
+	c.Check(held.busyFor(leg, &core.LegResult{Stopped: true}, start), qt.Equals, endGrace)
+	c.Check(held.busyFor(leg, &core.LegResult{Outcome: core.OutcomeRan}, start), qt.Equals, time.Duration(0))
+}
+
 // waiting adds a waiter as execute does.
 func waiting(t *target, class core.Class) *limit.Item[*waiter] {
 	item := &limit.Item[*waiter]{Class: class, Deadline: start.Add(time.Hour), Value: &waiter{done: make(chan core.Code, 1)}}
