Test that a refusal without a name asks the own view

Cause: the fault behind the failed replacement was covered by a process test only, which depends on how the moves of VMs meet. Check proved: without the own view the new test times out.

--- a/plugins/dispatch/owner/owner_test.go
+++ b/plugins/dispatch/owner/owner_test.go
@@ -113,6 +113,22 @@
 	c.Assert((<-d.out).to, qt.Equals, core.VMName("joined"))
 }
 
+// TestRefusalWithoutANameAsksTheOwnView guards against queries that fail during a replacement because the VM that left
+// names nobody, although this VM knows the successor by then.
+func TestRefusalWithoutANameAsksTheOwnView(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDispatcher(t)
+	d.send(1)
+	c.Assert((<-d.out).to, qt.Equals, core.VMName("old"))
+	d.State.Update(func(v *core.View) {
+		v.Ownership = &core.Ownership{Owner: core.MapOf(map[core.UpstreamID]core.VMName{"u": "new"})}
+	})
+	d.answer(1, refusal(""))
+	c.Assert((<-d.out).to, qt.Equals, core.VMName("new"))
+	d.answer(1, refusal(""))
+	c.Assert((<-d.results).Code, qt.Equals, core.CodeNotOwner)
+}
+
 // TestFollowingEnds guards against a sub-request that two VMs with different beliefs send to each other for ever.
 func TestFollowingEnds(t *testing.T) {
 	c := qt.New(t)
