Warn of deadlines that outlast the fence of ownership

Cause: when the owner of an upstream is paused, its successor takes over after 6 s and counts all slots as free, while requests of the paused VM may run until their deadline. With deadlines up to 5 s this cannot overlap; the rule allows up to 10 min. A plan that raises the longest deadline above the fence time now carries a warning.

Before: no warning. After: TestPlanWarnsOfDeadlinesBeyondTheFence passes. A VM with its own fence setting is not considered.

--- a/coord/config/config_test.go
+++ b/coord/config/config_test.go
@@ -208,3 +208,16 @@
 		c.Check(log.Set().Group(service, "g0"), qt.IsNotNil)
 	}
 }
+
+// TestPlanWarnsOfDeadlinesBeyondTheFence guards against an operator who allows requests that outlast the fence without
+// being told that two VMs may then use the slots of an upstream.
+func TestPlanWarnsOfDeadlinesBeyondTheFence(t *testing.T) {
+	c := qt.New(t)
+	set := func(maxMS core.Milliseconds) *core.ConfigSet {
+		service := &core.Service{Name: "s", Rule: core.Rule{MaxDeadlineMS: maxMS}}
+		return (&core.ConfigSet{Services: map[core.ServiceName]*core.Service{"s": service}}).Index()
+	}
+	c.Check(Warnings(set(5000), set(6000)), qt.HasLen, 0)
+	c.Check(Warnings(set(5000), set(6001)), qt.HasLen, 1)
+	c.Check(Warnings(set(7000), set(7000)), qt.HasLen, 0)
+}
--- a/coord/config/warnings.go
+++ b/coord/config/warnings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"gooseberrylane.example/coord/ownership"
 	"gooseberrylane.example/core"
 )
 
@@ -57,12 +58,24 @@
 	w.coverage(name, old, next)
 	w.layouts(name, old, next)
 	w.placement(name, old, next)
+	w.deadline(name, old, next)
 	for g := range next.Groups {
 		group := next.Groups[g].Name
 		w.group(fmt.Sprintf("%s/%s", name, group), old, next, group)
 	}
 }
 
+// deadline warns of requests that can outlast the fence: when the owner of an upstream is paused, its successor takes over
+// after the fence and counts all slots as free.
+func (w *warner) deadline(name core.ServiceName, old, next *core.Service) {
+	fence := ownership.Defaults().FenceAfter
+	limit := next.Rule.MaxDeadlineMS.Duration()
+	if limit <= fence || (old != nil && old.Rule.MaxDeadlineMS == next.Rule.MaxDeadlineMS) {
+		return
+	}
+	w.add("%s: the longest deadline of %v is above the fence time of %v; after a VM is paused, its requests may hold slots beside those of its successor", name, limit, fence)
+}
+
 func (w *warner) placement(name core.ServiceName, old, next *core.Service) {
 	if old == nil {
 		return
