--- a/demo/main.go
+++ b/demo/main.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
+	"github.com/zeebo/errs"
 	"go.uber.org/fx"
 
 	"gooseberrylane.example/kernel"
@@ -192,12 +193,12 @@
 }
 
 func (dm *demo) stopDaemons() error {
-	var errs []error
+	var failures []error
 	for _, app := range dm.apps {
-		errs = append(errs, app.Stop(context.Background()))
+		failures = append(failures, app.Stop(context.Background()))
 	}
 	fmt.Println("all daemons stopped")
-	return errors.Join(errs...)
+	return errs.Combine(failures...)
 }
 
 // freeAddresses returns loopback addresses that are free now.
--- a/kernel/app.go
+++ b/kernel/app.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/zeebo/errs"
 	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -41,6 +42,9 @@
 	Identity Identity
 }
 
+// Lifecycle is the class of the errors of a start or a stop.
+var Lifecycle = errs.Class("lifecycle")
+
 // startTimeout bounds the start of all plug-ins.
 const startTimeout = 30 * time.Second
 
@@ -108,7 +112,7 @@
 	defer cancel()
 	if err := a.fx.Start(ctx); err != nil {
 		a.log.Error("start_failed", "error", err.Error())
-		return err
+		return Lifecycle.Wrap(err)
 	}
 	a.log.Info("started", "failure_domain", string(a.Identity.Domain))
 	return nil
@@ -122,7 +126,7 @@
 	err := a.fx.Stop(ctx)
 	if err != nil {
 		a.log.Error("stop_incomplete", "error", err.Error())
-		return err
+		return Lifecycle.Wrap(err)
 	}
 	a.log.Info("stopped")
 	return nil
--- a/plugins/frontend/http/http.go
+++ b/plugins/frontend/http/http.go
@@ -3,13 +3,13 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/zeebo/errs"
 	"go.uber.org/fx"
 
 	"gooseberrylane.example/core"
@@ -100,7 +100,7 @@
 	case <-ctx.Done():
 	}
 	err := f.server.Stop(ctx)
-	return errors.Join(err, f.Membership.Leave(ctx))
+	return errs.Combine(err, f.Membership.Leave(ctx))
 }
 
 // closeWhileStopping asks the caller to close its connection after the answer. A connection that the server closes while
--- a/plugins/peer/websocket/link.go
+++ b/plugins/peer/websocket/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/zeebo/errs"
 
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel/kinds"
@@ -26,10 +27,13 @@
 	headerTo = "X-Peer-To"
 )
 
+// linkError is the class of the errors that end a link.
+var linkError = errs.Class("peer link")
+
 var (
-	errRetired      = errors.New("the VM was replaced")
-	errStopping     = errors.New("the VM is stopping")
-	errClosedByPeer = errors.New("the VM closed the link")
+	errRetired      = linkError.New("the VM was replaced")
+	errStopping     = linkError.New("the VM is stopping")
+	errClosedByPeer = linkError.New("the VM closed the link")
 	errLinkEnded    = core.Errorf(core.CodeUnreachable, "the link failed")
 )
 
--- a/standins/cmd/platform/main.go
+++ b/standins/cmd/platform/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
+	"github.com/zeebo/errs"
 
 	"gooseberrylane.example/standins/control"
 	"gooseberrylane.example/standins/platform"
@@ -46,5 +47,5 @@
 	err := control.Serve(ctx, controlListen, server.Control(), func(address string) error {
 		return json.NewEncoder(os.Stdout).Encode(map[string]string{"control": address, "platform": server.Address()})
 	})
-	return errors.Join(err, server.Stop())
+	return errs.Combine(err, server.Stop())
 }
--- a/standins/cmd/upstream/main.go
+++ b/standins/cmd/upstream/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
+	"github.com/zeebo/errs"
 
 	"gooseberrylane.example/standins/control"
 	"gooseberrylane.example/standins/upstream"
@@ -53,5 +54,5 @@
 	err = control.Serve(ctx, listen, host.Control(), func(address string) error {
 		return json.NewEncoder(os.Stdout).Encode(map[string]any{"control": address, "upstreams": host.Addresses()})
 	})
-	return errors.Join(err, host.Stop())
+	return errs.Combine(err, host.Stop())
 }
--- a/standins/control/control.go
+++ b/standins/control/control.go
@@ -12,6 +12,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
 const (
@@ -52,7 +54,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := ready(listener.Addr().String()); err != nil {
-		return errors.Join(err, listener.Close())
+		return errs.Combine(err, listener.Close())
 	}
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
