--- a/coord/admission/admission_test.go
+++ b/coord/admission/admission_test.go
@@ -107,8 +107,8 @@
 	c.Assert(g.Bound(), qt.Equals, 40)
 }
 
-// TestHopelessQueryIsRefusedAtOnce guards against a query that waits only to miss its deadline.
-func TestHopelessQueryIsRefusedAtOnce(t *testing.T) {
+// TestQueryThatCannotFinishIsRefusedAtOnce guards against a query that waits only to miss its deadline.
+func TestQueryThatCannotFinishIsRefusedAtOnce(t *testing.T) {
 	c := qt.New(t)
 	g := admission.NewGate[int](admission.GateSettings{Start: 1, Min: 1, Max: 1, Queue: 9})
 	g.TryEnter()
--- a/coord/eject/eject.go
+++ b/coord/eject/eject.go
@@ -40,7 +40,7 @@
 	return state.EjectedUntil.Load() > now.UnixNano()
 }
 
-// isFailure reports whether a result speaks against the upstream. Refusals say that it is busy, leaving or at another
+// isFailure reports whether a result counts against the upstream. Refusals say that it is busy, leaving or at another
 // version, and a cancelled attempt says nothing.
 func isFailure(code core.Code) bool {
 	switch code {
--- a/coord/hedge/hedge_test.go
+++ b/coord/hedge/hedge_test.go
@@ -102,9 +102,9 @@
 	c.Assert(value > 50*time.Millisecond && value < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%v", value))
 }
 
-// TestServiceSpeaksForItsGroups guards against stragglers that are waited for because each group alone has seen too few
+// TestGroupsStartWithTheEstimateOfTheService guards against stragglers that are waited for because each group alone has seen too few
 // requests on this VM, one of them a straggler.
-func TestServiceSpeaksForItsGroups(t *testing.T) {
+func TestGroupsStartWithTheEstimateOfTheService(t *testing.T) {
 	c := qt.New(t)
 	p := hedge.New(hedge.Defaults())
 	const mean = 4 * time.Millisecond
--- a/coord/limit/queue_test.go
+++ b/coord/limit/queue_test.go
@@ -89,8 +89,8 @@
 	})
 }
 
-// TestHopelessWorkIsSeen guards against work that takes a place in the queue and then misses its deadline anyway.
-func TestHopelessWorkIsSeen(t *testing.T) {
+// TestWorkThatCannotFinishIsSeen guards against work that takes a place in the queue and then misses its deadline anyway.
+func TestWorkThatCannotFinishIsSeen(t *testing.T) {
 	c := qt.New(t)
 	var e limit.Estimate
 	c.Assert(e.CanFinish(epoch, epoch, 10, 1), qt.IsTrue)
--- a/coord/ownership/claims.go
+++ b/coord/ownership/claims.go
@@ -269,7 +269,7 @@
 	}
 }
 
-// OnContest handles the word of a member that a rival holds the same upstream.
+// OnContest handles the report of a member that a rival holds the same upstream.
 func (m *Machine) OnContest(message Contest) Actions {
 	var a Actions
 	if message.To == m.table.Self().Incarnation {
--- a/coord/query/machine_test.go
+++ b/coord/query/machine_test.go
@@ -123,7 +123,7 @@
 	c.Assert(m.Answer().Missing[0].Reason, qt.Equals, core.CodeUpstreamError)
 }
 
-// TestVersionMissingIsNotClaimedForReplicasThatShed guards against a reason that speaks for replicas that said
+// TestVersionMissingIsNotClaimedForReplicasThatShed guards against a reason that covers replicas that said
 // something else, in either order.
 func TestVersionMissingIsNotClaimedForReplicasThatShed(t *testing.T) {
 	c := qt.New(t)
--- a/coord/query/shard.go
+++ b/coord/query/shard.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// weight orders reasons: version_missing, shed and unreachable speak for all replicas that were tried, so any other
+// weight orders reasons: version_missing, shed and unreachable apply to all replicas that were tried, so any other
 // failure replaces them.
 func weight(code core.Code) int {
 	switch code {
--- a/plugins/configuration/log/apply.go
+++ b/plugins/configuration/log/apply.go
@@ -17,7 +17,7 @@
 	sourceConfirm  = "confirm"
 )
 
-// freshStep is the smallest change of the time of the last news that is published while the set stays the same.
+// freshStep is the smallest change of the time of the last contact that is published while the set stays the same.
 const freshStep = time.Second
 
 // take adds changes to the log, publishes what they made possible and pushes it to peers. It reports whether any
@@ -96,8 +96,8 @@
 	}
 }
 
-// newsAge returns the time since the last news of the platform, or -1 when there was none.
-func (s *service) newsAge() time.Duration {
+// contactAge returns the time since the last contact with the platform, or -1 when there was none.
+func (s *service) contactAge() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fresh.IsZero() {
@@ -106,8 +106,8 @@
 	return max(s.Clock.Now().Sub(s.fresh), 0)
 }
 
-// publishNews publishes the time of the last news of the platform and whether the configuration may be old.
-func (s *service) publishNews() {
+// publishContact publishes the time of the last contact with the platform and whether the configuration may be old.
+func (s *service) publishContact() {
 	s.mu.Lock()
 	fresh, open := s.fresh, s.open
 	s.mu.Unlock()
--- a/plugins/configuration/log/follow.go
+++ b/plugins/configuration/log/follow.go
@@ -15,12 +15,12 @@
 	firstBackoff = 500 * time.Millisecond
 	// watcherBackoff bounds the wait of the VMs that others depend on, and of VMs without a configuration.
 	watcherBackoff = 2 * time.Second
-	// otherBackoff bounds the wait of the other VMs. They are many, and news reaches them through peers.
+	// otherBackoff bounds the wait of the other VMs. They are many, and changes reach them through peers.
 	otherBackoff = 5 * time.Minute
 )
 
 // follow finds the first set and then keeps the log up to date from the platform: watchers by a long watch, other VMs
-// only when peers bring no news.
+// only when no peer has had contact with it.
 func (s *service) follow() {
 	s.begin()
 	random := s.Random.Generator()
@@ -87,11 +87,11 @@
 	if s.spread().watcher || s.Revision() == 0 {
 		return true
 	}
-	age := s.newsAge()
+	age := s.contactAge()
 	return age < 0 || age > millis(s.settings.StaleAfterMS)*2/3
 }
 
-// followOnce reads news from the platform: the whole log at first, then by a watch if this VM is a watcher. After a
+// followOnce reads changes from the platform: the whole log at first, then by a watch if this VM is a watcher. After a
 // failure a short call goes first: the platform client lets one trial call through, and a watch would hold up all other
 // calls of the process while it waits.
 func (s *service) followOnce(failed bool) error {
@@ -176,7 +176,7 @@
 		s.Log.Warn("config_platform_not_read", "error", err.Error())
 	}
 	s.openLog()
-	s.publishNews()
+	s.publishContact()
 }
 
 // awaitMembers waits until the membership knows any VM.
--- a/plugins/configuration/log/fuzz_test.go
+++ b/plugins/configuration/log/fuzz_test.go
@@ -63,10 +63,10 @@
 	})
 }
 
-// FuzzMessages guards against a message of a peer that ends the process, or that tells news of the future.
+// FuzzMessages guards against a message of a peer that ends the process, or that claims a contact in the future.
 func FuzzMessages(f *testing.F) {
 	for _, m := range []any{
-		revisionMessage{NewsAgeMS: 1}, revisionMessage{NewsAgeMS: math.MaxInt64 / 3}, changesMessage{Changes: [][]byte{{'{'}}}, setMessage{Data: zipped("{}")},
+		revisionMessage{ContactAgeMS: 1}, revisionMessage{ContactAgeMS: math.MaxInt64 / 3}, changesMessage{Changes: [][]byte{{'{'}}}, setMessage{Data: zipped("{}")},
 	} {
 		raw, err := cbor.Marshal(m)
 		if err != nil {
@@ -78,8 +78,8 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var revision revisionMessage
 		if cbor.Unmarshal(raw, &revision) == nil {
-			if at, ok := revision.news(now); ok && at.After(now) {
-				t.Fatalf("news of %v, now is %v", at, now)
+			if at, ok := revision.contact(now); ok && at.After(now) {
+				t.Fatalf("contact at %v, now is %v", at, now)
 			}
 		}
 		var changes changesMessage
--- a/plugins/configuration/log/log.go
+++ b/plugins/configuration/log/log.go
@@ -47,7 +47,7 @@
 	WatchMS int64 `json:"watch_ms" validate:"gte=10,lte=60000"`
 	// CompareMS is the mean time between two comparisons of revisions with a peer, in milliseconds. Default 1000.
 	CompareMS int64 `json:"compare_ms" validate:"gte=5,lte=60000"`
-	// StaleAfterMS is the time without news of the platform, own or through peers, after which the configuration is
+	// StaleAfterMS is the time without contact with the platform, own or through peers, after which the configuration is
 	// reported as stale, in milliseconds. Default 45000.
 	StaleAfterMS int64 `json:"stale_after_ms" validate:"gte=50,lte=3600000"`
 	// StartMS bounds the wait for the platform and the peers before the first configuration set is chosen, in
--- a/plugins/configuration/log/messages.go
+++ b/plugins/configuration/log/messages.go
@@ -11,8 +11,8 @@
 // revisionMessage compares revisions. Whoever is behind gets the changes or asks for them.
 type revisionMessage struct {
 	Revision core.Revision
-	// NewsAgeMS is the time since the platform was known to have no later revision, in milliseconds; -1 means never.
-	NewsAgeMS int64
+	// ContactAgeMS is the time since the platform was known to have no later revision, in milliseconds; -1 means never.
+	ContactAgeMS int64
 	// Reply asks for the revision of the receiver and nothing else: a VM that starts asks several peers and then takes
 	// the changes from one.
 	Reply bool
@@ -85,22 +85,22 @@
 }
 
 func (s *service) ownRevision(reply bool) revisionMessage {
-	age := s.newsAge()
-	m := revisionMessage{Revision: s.held(), NewsAgeMS: age.Milliseconds(), Reply: reply}
+	age := s.contactAge()
+	m := revisionMessage{Revision: s.held(), ContactAgeMS: age.Milliseconds(), Reply: reply}
 	if age < 0 {
-		m.NewsAgeMS = -1
+		m.ContactAgeMS = -1
 	}
 	return m
 }
 
-// maxNewsAgeMS is the most that a duration holds, in milliseconds. More would wrap around to news of the future, which hide
+// maxContactAgeMS is the most that a duration holds, in milliseconds. More would wrap around to a contact in the future, which hide
 // that the configuration is old.
-const maxNewsAgeMS = math.MaxInt64 / int64(time.Millisecond)
+const maxContactAgeMS = math.MaxInt64 / int64(time.Millisecond)
 
-// news returns the time of the news that a message tells, or false when it tells none.
-func (m *revisionMessage) news(now time.Time) (time.Time, bool) {
-	if m.NewsAgeMS < 0 || m.NewsAgeMS > maxNewsAgeMS {
+// contact returns the time of the platform contact that a message reports, or false when it reports none.
+func (m *revisionMessage) contact(now time.Time) (time.Time, bool) {
+	if m.ContactAgeMS < 0 || m.ContactAgeMS > maxContactAgeMS {
 		return time.Time{}, false
 	}
-	return now.Add(-millis(m.NewsAgeMS)), true
+	return now.Add(-millis(m.ContactAgeMS)), true
 }
--- a/plugins/configuration/log/spread.go
+++ b/plugins/configuration/log/spread.go
@@ -18,8 +18,8 @@
 	// maxChangesBytes and maxChanges bound the changes of one message.
 	maxChangesBytes = 1 << 20
 	maxChanges      = 256
-	// newsGain is how much older the news of a peer must be before it is answered with later news.
-	newsGain = 2 * time.Second
+	// contactGain is how much older the contact that a peer reports must be before it is answered with a later one.
+	contactGain = 2 * time.Second
 	// pullWait is how long a VM waits for requested changes before it asks another peer for the same ones.
 	pullWait = 500 * time.Millisecond
 )
@@ -79,7 +79,7 @@
 
 // compare tells one partner the own revision and asks it for changes that are missing.
 func (s *service) compare() {
-	s.publishNews()
+	s.publishContact()
 	for _, vm := range s.spread().partners.One(s.Random.Generator()) {
 		s.send(vm, s.ownRevision(false))
 		if s.hasGap() {
@@ -131,12 +131,12 @@
 
 func (s *service) onRevision(from core.VM, m *revisionMessage) {
 	now := s.Clock.Now()
-	news, known := m.news(now)
+	contact, known := m.contact(now)
 	if known {
-		s.freshen(m.Revision, news)
+		s.freshen(m.Revision, contact)
 	}
 	defer s.note(from, m.Revision)
-	held, age := s.held(), s.newsAge()
+	held, age := s.held(), s.contactAge()
 	switch {
 	case m.Reply:
 		s.send(from, s.ownRevision(false))
@@ -144,7 +144,7 @@
 		s.request(from, m.Revision)
 	case m.Revision < held:
 		s.sendSince(from, m.Revision)
-	case age >= 0 && (!known || now.Sub(news) > age+newsGain):
+	case age >= 0 && (!known || now.Sub(contact) > age+contactGain):
 		s.send(from, s.ownRevision(false))
 	}
 }
--- a/plugins/executor/slots/target_test.go
+++ b/plugins/executor/slots/target_test.go
@@ -87,8 +87,8 @@
 	c.Assert(held.free.Load(), qt.Equals, int64(2))
 }
 
-// TestHopelessLegNeverReachesTheUpstream guards against work that ends after its deadline, while others wait.
-func TestHopelessLegNeverReachesTheUpstream(t *testing.T) {
+// TestLegThatCannotFinishIsRefusedEarly guards against work that ends after its deadline, while others wait.
+func TestLegThatCannotFinishIsRefusedEarly(t *testing.T) {
 	c := qt.New(t)
 	held, pool := newTestTarget(1)
 	held.estimate.Observe(100 * time.Millisecond)
--- a/test/membership/membership_test.go
+++ b/test/membership/membership_test.go
@@ -35,7 +35,7 @@
 	rest := others(cl, killed)
 	cl.WaitFor("successors", func() bool { return owners(cl, rest) != nil })
 	// The VMs of the other failure domains learn of it at their next contact.
-	cl.WaitFor("the news across", func() bool { return stateOf(rest[0], killed) == "gone" })
+	cl.WaitFor("the state gone in another failure domain", func() bool { return stateOf(rest[0], killed) == "gone" })
 	c.Assert(cl.MustAsk(rest[0], query("after-kill")).Name, qt.Equals, "ok")
 	c.Check(total(cl, overSlots), qt.Equals, uint64(0))
 }
