Keep links open in process tests on a busy machine

Cause: TestCallerThatGoesAwayCancelsTheWork once waited 60 s at a load average of 20 to 35. With a ping time of 250 ms a busy machine ends links, the plain policies do not send a sub-request again, and the number that the test waits for is never reached. The cause is likely, not reproduced. All process tests now use pings of 10 s unless they ask for silent links; membership tests had this already.

--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -24,6 +24,10 @@
 	"gooseberrylane.example/standins/upstream"
 )
 
+// KeepaliveMS is the time between pings of the links between VMs. It is far above what a busy machine takes to answer,
+// so that a test that does not ask for silent links meets none.
+const KeepaliveMS = 10_000
+
 // waitLimit bounds the wait for a state that a test needs. It is far above what a loaded machine takes, and only ends
 // a test that would hang.
 const waitLimit = 60 * time.Second
@@ -154,6 +158,7 @@
 		all = append(all, member.VM)
 	}
 	settings := cl.Deployment.NewSettings(vm.VM, all, cl.Platform.Address())
+	settings.Set("peer", "websocket", map[string]any{"listen": vm.Peer, "keepalive_ms": KeepaliveMS})
 	if change != nil {
 		change(vm, settings)
 	}
