--- a/plugins/frontend/operator/handlers.go
+++ b/plugins/frontend/operator/handlers.go
@@ -37,44 +37,38 @@
 	return &core.Error{Code: code, Detail: "the request was refused", Problems: p}
 }
 
-// operations returns the part that changes the configuration, or answers the request with an error.
-func (f *frontEnd) operations(c *gin.Context) (kinds.Operations, bool) {
-	if f.Operations == nil {
-		web.WriteError(c, core.Errorf(core.CodeNotFound, "the configuration plug-in of this VM takes no changes"), 0)
-		return nil, false
+// withOperations returns a handler that needs the part that changes the configuration.
+func (f *frontEnd) withOperations(handle func(*gin.Context, kinds.Operations)) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		if f.Operations == nil {
+			web.WriteError(c, core.Errorf(core.CodeNotFound, "the configuration plug-in of this VM takes no changes"), 0)
+			return
+		}
+		handle(c, f.Operations)
 	}
-	return f.Operations, true
 }
 
-func (f *frontEnd) plan(c *gin.Context) {
+func (f *frontEnd) plan(c *gin.Context, operations kinds.Operations) {
 	var intent config.Intent
 	if err := web.ReadJSON(c, f.settings.MaxBodyBytes, &intent); err != nil {
 		web.WriteError(c, err, 0)
 		return
 	}
-	operations, ok := f.operations(c)
-	if !ok {
-		return
-	}
 	plan, err := operations.Plan(c.Request.Context(), intent)
 	answer(c, http.StatusCreated, plan, err)
 }
 
-func (f *frontEnd) getPlan(c *gin.Context) {
+func (f *frontEnd) getPlan(c *gin.Context, operations kinds.Operations) {
 	id, err := planID(c)
 	if err != nil {
 		web.WriteError(c, err, 0)
 		return
 	}
-	operations, ok := f.operations(c)
-	if !ok {
-		return
-	}
 	plan, err := operations.GetPlan(c.Request.Context(), id)
 	answer(c, http.StatusOK, plan, err)
 }
 
-func (f *frontEnd) confirm(c *gin.Context) {
+func (f *frontEnd) confirm(c *gin.Context, operations kinds.Operations) {
 	id, err := planID(c)
 	if err != nil {
 		web.WriteError(c, err, 0)
@@ -93,10 +87,6 @@
 		web.WriteError(c, err, 0)
 		return
 	}
-	operations, ok := f.operations(c)
-	if !ok {
-		return
-	}
 	change, err := operations.Confirm(c.Request.Context(), id, body.Operator)
 	answer(c, http.StatusOK, change, err)
 }
@@ -110,7 +100,7 @@
 	return config.PlanID(id), nil
 }
 
-func (f *frontEnd) history(c *gin.Context) {
+func (f *frontEnd) history(c *gin.Context, operations kinds.Operations) {
 	var found problems
 	after := unsigned(c, "after", 0, &found)
 	limit := unsigned(c, "limit", defaultHistory, &found)
@@ -122,10 +112,6 @@
 		web.WriteError(c, err, 0)
 		return
 	}
-	operations, ok := f.operations(c)
-	if !ok {
-		return
-	}
 	changes, err := operations.History(c.Request.Context(), core.Revision(after), int(limit))
 	page := api.History{Changes: changes}
 	if page.Changes == nil {
@@ -137,7 +123,7 @@
 	answer(c, http.StatusOK, page, err)
 }
 
-func (f *frontEnd) progress(c *gin.Context) {
+func (f *frontEnd) progress(c *gin.Context, operations kinds.Operations) {
 	var found problems
 	revision := unsigned(c, "revision", uint64(f.State.Load().Config.Revision), &found)
 	onlyKnown(c, &found, "revision")
@@ -145,10 +131,6 @@
 		web.WriteError(c, err, 0)
 		return
 	}
-	operations, ok := f.operations(c)
-	if !ok {
-		return
-	}
 	progress, err := operations.Progress(c.Request.Context(), core.Revision(revision))
 	answer(c, http.StatusOK, progress, err)
 }
--- a/plugins/frontend/operator/operator.go
+++ b/plugins/frontend/operator/operator.go
@@ -86,11 +86,11 @@
 func (f *frontEnd) router() *gin.Engine {
 	router := web.NewRouter(f.Log)
 	router.Use(f.authorize)
-	router.POST("/v1/plans", f.plan)
-	router.GET("/v1/plans/:id", f.getPlan)
-	router.POST("/v1/plans/:id/confirm", f.confirm)
-	router.GET("/v1/history", f.history)
-	router.GET("/v1/progress", f.progress)
+	router.POST("/v1/plans", f.withOperations(f.plan))
+	router.GET("/v1/plans/:id", f.withOperations(f.getPlan))
+	router.POST("/v1/plans/:id/confirm", f.withOperations(f.confirm))
+	router.GET("/v1/history", f.withOperations(f.history))
+	router.GET("/v1/progress", f.withOperations(f.progress))
 	router.GET("/v1/status", f.status)
 	return router
 }
