Wait in the demo until the daemons serve the configuration

Cause: a VM applies a configuration before it knows the owners of its upstreams. The demo waited for the revision only, so its first query was refused with not_ready in 2 of 36 starts, and the program still ended with status 0. Change: View.InForce combines revision and readiness of one published view. The demo waits for it and fails when an answer does not miss exactly the shards that it should.

--- a/core/view.go
+++ b/core/view.go
@@ -212,3 +212,7 @@
 
 // State returns the observed state of an upstream, or nil.
 func (v *View) State(id UpstreamID) *UpstreamState { return v.Upstreams.Value(id) }
+
+// InForce reports whether the VM serves queries with a configuration of at least a revision. A VM applies a configuration
+// before it knows the owners of its upstreams, and refuses queries until then.
+func (v *View) InForce(revision Revision) bool { return v.Ready && v.Config.Revision >= revision }
--- a/demo/main.go
+++ b/demo/main.go
@@ -33,6 +33,8 @@
 	startTimeout = 20 * time.Second
 	queryTimeout = 5 * time.Second
 	seed         = 1
+	// replicasPerShard is the number of upstreams that hold each shard in the deployments of the stand-ins.
+	replicasPerShard = 2
 )
 
 func main() {
@@ -86,14 +88,18 @@
 		return err
 	}
 	service := string(d.Services[0].Name)
-	if err := dm.ask(ctx, "all replicas up", service); err != nil {
+	if err := dm.ask(ctx, "all replicas up", service, 0); err != nil {
 		return err
 	}
-	for _, replica := range dm.upstreams[:2] {
+	for killed, replica := range dm.upstreams[:replicasPerShard] {
 		if err := replica.Kill(); err != nil {
 			return err
 		}
-		if err := dm.ask(ctx, "replica "+replica.ID()+" killed", service); err != nil {
+		missing := 0
+		if killed == replicasPerShard-1 {
+			missing = 1
+		}
+		if err := dm.ask(ctx, "replica "+replica.ID()+" killed", service, missing); err != nil {
 			return err
 		}
 	}
@@ -179,7 +185,7 @@
 	}
 	started := time.Now()
 	for _, app := range dm.apps {
-		for changed := app.State.Changed(); app.State.Load().Config.Revision < change.Revision; changed = app.State.Changed() {
+		for changed := app.State.Changed(); !app.State.Load().InForce(change.Revision); changed = app.State.Changed() {
 			select {
 			case <-changed:
 			case <-ctx.Done():
@@ -229,8 +235,9 @@
 	} `json:"missing"`
 }
 
-// ask sends one query over all shards to the first daemon and prints the answer.
-func (dm *demo) ask(ctx context.Context, label, service string) error {
+// ask sends one query over all shards to the first daemon and prints the answer. The error tells that the answer does not
+// cover all shards but the given number of missing ones.
+func (dm *demo) ask(ctx context.Context, label, service string, missing int) error {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	body, err := json.Marshal(map[string]any{
@@ -259,8 +266,11 @@
 	}
 	fmt.Printf("%s: %s, snapshot %d, %d of %d shards, count %d, %.1f ms\n",
 		label, a.Name, a.Snapshot, len(a.Covered), len(a.Covered)+len(a.Missing), total, float64(time.Since(started).Microseconds())/1000)
-	for _, missing := range a.Missing {
-		fmt.Printf("  not covered: %s (%s)\n", missing.Shard, missing.Reason)
+	for _, shard := range a.Missing {
+		fmt.Printf("  not covered: %s (%s)\n", shard.Shard, shard.Reason)
+	}
+	if len(a.Covered) == 0 || len(a.Missing) != missing {
+		return fmt.Errorf("%s: the answer %s covers %d shards and misses %d, want %d missing", label, a.Name, len(a.Covered), len(a.Missing), missing)
 	}
 	return nil
 }
