--- a/cmd/gooseberrylaned/main.go
+++ b/cmd/gooseberrylaned/main.go
@@ -9,10 +9,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 
 	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/logsink"
+	_ "gooseberrylane.example/platform"
 	_ "gooseberrylane.example/plugins/standard"
 )
 
@@ -22,11 +25,16 @@
 	exitBadSettings = 2
 )
 
+// logFlushTimeout bounds the writing of the last log lines at the end.
+const logFlushTimeout = 200 * time.Millisecond
+
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
 	flags := flag.NewFlagSet("gooseberrylaned", flag.ContinueOnError)
-	path := flags.String("settings", "", "path of the JSON settings `file` (required)")
+	path := flags.String("settings", "", "path of the JSON settings `file`")
+	source := flags.String("source", "", "`name` of a source that translates a settings file of another format")
+	logRate := flags.Int("log-rate", logsink.DefaultBytesPerSecond, "`bytes` of log per second in the long run")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("GOOSEBERRYLANED")); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
@@ -34,20 +42,26 @@
 		fmt.Fprintln(os.Stderr, "gooseberrylaned:", err)
 		return exitBadSettings
 	}
-	raw, err := os.ReadFile(*path)
+	file, err := openSettings(*path, *source)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "gooseberrylaned: settings:", err)
+		fmt.Fprintln(os.Stderr, "gooseberrylaned:", err)
 		return exitBadSettings
 	}
-	loaded, err := kernel.Load(kernel.Linked(), raw)
+	loaded, err := file.load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "gooseberrylaned:", err)
 		return exitBadSettings
 	}
+	// SIGHUP would end the process if nobody took it.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	app, err := kernel.New(loaded, kernel.Options{Log: os.Stderr})
+	sink := logsink.New(os.Stdout, *logRate)
+	defer sink.Close(logFlushTimeout)
+	app, err := kernel.New(loaded, kernel.Options{Log: sink})
 	if err == nil {
+		go file.follow(ctx, app, hangup)
 		err = app.Run(ctx)
 	}
 	if err != nil {
--- /dev/null
+++ b/cmd/gooseberrylaned/settings.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"gooseberrylane.example/kernel"
+)
+
+// pollPeriod is how often the settings file is compared, because it may change without a signal.
+const pollPeriod = 5 * time.Second
+
+// settingsFile is the file that the daemon takes its settings from.
+type settingsFile struct {
+	path      string
+	translate func([]byte) ([]byte, error)
+	// raw is the content that was taken last.
+	raw []byte
+}
+
+func openSettings(path, source string) (*settingsFile, error) {
+	f := &settingsFile{path: path, translate: func(raw []byte) ([]byte, error) { return raw, nil }}
+	if source == "" {
+		return f, nil
+	}
+	found, err := kernel.FindSource(source)
+	if err != nil {
+		return nil, err
+	}
+	f.translate = found.Translate
+	if f.path == "" {
+		f.path = found.Path()
+	}
+	return f, nil
+}
+
+// load reads and checks the file.
+func (f *settingsFile) load() (*kernel.Loaded, error) {
+	raw, err := os.ReadFile(f.path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	f.raw = raw
+	return f.check(raw)
+}
+
+func (f *settingsFile) check(raw []byte) (*kernel.Loaded, error) {
+	translated, err := f.translate(raw)
+	if err != nil {
+		return nil, err
+	}
+	return kernel.Load(kernel.Linked(), translated)
+}
+
+// follow takes a changed file after a signal or at the next comparison, until ctx ends.
+func (f *settingsFile) follow(ctx context.Context, app *kernel.App, hangup <-chan os.Signal) {
+	ticker := time.NewTicker(pollPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-hangup:
+			f.reload(app, "signal")
+		case <-ticker.C:
+			f.reload(app, "poll")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reload takes the file if it changed. Settings with a fault change nothing.
+func (f *settingsFile) reload(app *kernel.App, cause string) {
+	raw, err := os.ReadFile(f.path)
+	if err != nil {
+		app.Log.Error("settings_unreadable", "cause", cause, "error", err.Error())
+		return
+	}
+	if bytes.Equal(raw, f.raw) {
+		if cause == "signal" {
+			app.Log.Info("settings_unchanged", "cause", cause)
+		}
+		return
+	}
+	f.raw = raw
+	loaded, err := f.check(raw)
+	if err != nil {
+		app.Log.Error("settings_refused", "cause", cause, "error", err.Error())
+		return
+	}
+	app.Reload(loaded)
+	app.Log.Info("settings_reloaded", "cause", cause)
+}
--- /dev/null
+++ b/coord/fanout/machine.go
@@ -0,0 +1,226 @@
+package fanout
+
+import (
+	"slices"
+	"time"
+
+	"gooseberrylane.example/core"
+)
+
+// Machine runs one plan. It has no clock and no I/O: the driver passes in the time, sends what the machine asks for and
+// reports what came of it. It is not safe for concurrent use.
+type Machine struct {
+	plan     Plan
+	policies Policies
+	legs     []legState
+	need     int
+	// covered and failed count the legs that ended.
+	covered, failed int
+	// started is true once the first sends were handed out, ran once an upstream may have begun to work on the request.
+	started, ran bool
+	verdict      Verdict
+	sends        []Send
+}
+
+type legState struct {
+	tried []core.UpstreamID
+	// sent counts the upstreams that got the leg, open those that have not ended.
+	sent, open int
+	ended      bool
+	hedgeAt    time.Time
+}
+
+// New returns the machine of a plan.
+func New(plan Plan, policies Policies) *Machine {
+	return &Machine{plan: plan, policies: policies, legs: make([]legState, len(plan.Legs)), need: plan.needed()}
+}
+
+// Start returns the first sends. A request that cannot be served with the known upstreams is refused at once.
+func (m *Machine) Start(now time.Time) []Send {
+	m.sends = m.sends[:0]
+	for i := range m.legs {
+		if !m.send(now, i, First) {
+			m.fail(i)
+		}
+	}
+	m.conclude(now)
+	if m.verdict != Pending {
+		// Nothing was sent yet, so nothing has to be.
+		return nil
+	}
+	m.started = true
+	return m.sends
+}
+
+// Finished handles the end of a send: its reply, or the failure to get one.
+func (m *Machine) Finished(now time.Time, leg int, reply *core.Reply) []Send {
+	m.sends = m.sends[:0]
+	state := &m.legs[leg]
+	state.open--
+	if reply.Code == core.CodeConnectFailed {
+		// The upstream never got the request, so it does not count towards the attempts.
+		state.sent--
+	} else if reply.Outcome != core.OutcomeNotRun {
+		m.ran = true
+	}
+	if state.ended || m.verdict != Pending {
+		return nil
+	}
+	switch {
+	case reply.Code == core.CodeOK:
+		state.ended = true
+		m.covered++
+	case m.mayRetry(reply) && (state.open > 0 || m.retry(now, leg, reply)):
+	case state.open == 0:
+		m.fail(leg)
+	}
+	m.conclude(now)
+	return m.sends
+}
+
+// mayRetry reports whether a leg that ended with a reply may be sent to another upstream.
+func (m *Machine) mayRetry(reply *core.Reply) bool {
+	if reply.Outcome == core.OutcomeNotRun {
+		return true
+	}
+	return m.plan.Route.Idempotent && reply.Code != core.CodeBadRequest
+}
+
+// retry sends a leg to another upstream. A connection that could not be opened cost no upstream anything.
+func (m *Machine) retry(now time.Time, leg int, reply *core.Reply) bool {
+	if reply.Code != core.CodeConnectFailed && !m.mayAskAgain(now, leg) {
+		return false
+	}
+	return m.send(now, leg, Retry)
+}
+
+// mayAskAgain reports whether the limits allow one more upstream for a leg, and spends from the budget.
+func (m *Machine) mayAskAgain(now time.Time, leg int) bool {
+	state := &m.legs[leg]
+	if state.sent >= m.plan.Route.MaxAttempts || !m.hasUntried(leg) {
+		return false
+	}
+	return m.policies.AllowExtra(now, m.plan.Legs[leg].Service)
+}
+
+func (m *Machine) hasUntried(leg int) bool {
+	group := m.plan.Legs[leg].Group
+	return group != nil && len(m.legs[leg].tried) < len(group.Upstreams)
+}
+
+// send asks one more upstream for a leg, or reports that there is none.
+func (m *Machine) send(now time.Time, leg int, reason Reason) bool {
+	state := &m.legs[leg]
+	group := m.plan.Legs[leg].Group
+	if group == nil {
+		return false
+	}
+	upstream := m.policies.Choose(now, group, state.tried)
+	if upstream == nil {
+		return false
+	}
+	state.tried = append(state.tried, upstream.ID)
+	state.sent++
+	state.open++
+	state.hedgeAt = time.Time{}
+	if m.plan.Route.Idempotent && state.sent < m.plan.Route.MaxAttempts && m.hasUntried(leg) {
+		state.hedgeAt = now.Add(m.policies.HedgeDelay(m.plan.Route))
+	}
+	m.sends = append(m.sends, Send{Leg: leg, Upstream: upstream, Reason: reason})
+	return true
+}
+
+func (m *Machine) fail(leg int) {
+	m.legs[leg].ended = true
+	m.failed++
+}
+
+// Wake handles the passing of time. The driver calls it at the time that Next returned.
+func (m *Machine) Wake(now time.Time) []Send {
+	m.sends = m.sends[:0]
+	if m.verdict != Pending {
+		return nil
+	}
+	for i := range m.legs {
+		state := &m.legs[i]
+		if state.ended || state.hedgeAt.IsZero() || now.Before(state.hedgeAt) {
+			continue
+		}
+		if !m.mayAskAgain(now, i) || !m.send(now, i, Hedge) {
+			// The budget may have room again later.
+			state.hedgeAt = now.Add(m.policies.HedgeDelay(m.plan.Route))
+		}
+	}
+	m.conclude(now)
+	return m.sends
+}
+
+// Next returns when Wake has something to do.
+func (m *Machine) Next() time.Time {
+	next := m.plan.Times.GiveUp
+	consider := func(t time.Time) {
+		if !t.IsZero() && t.Before(next) {
+			next = t
+		}
+	}
+	for i := range m.legs {
+		if !m.legs[i].ended {
+			consider(m.legs[i].hedgeAt)
+		}
+	}
+	if m.plan.Route.Gather != nil && m.covered >= m.need {
+		if m.plan.Times.PartialAt.Before(m.plan.Times.ObjectiveAt) {
+			consider(m.plan.Times.PartialAt)
+		}
+		consider(m.plan.Times.SettleAt)
+	}
+	return next
+}
+
+// conclude sets the verdict once nothing that may still happen is worth waiting for.
+func (m *Machine) conclude(now time.Time) {
+	switch {
+	case m.covered == len(m.legs):
+		m.verdict = Complete
+	case m.covered+m.failed == len(m.legs) && m.enough():
+		m.verdict = Partial
+	case len(m.legs)-m.failed < m.need:
+		m.verdict = m.failure()
+	case m.enough() && m.timeForPartial(now):
+		m.verdict = Partial
+	case now.Before(m.plan.Times.GiveUp):
+	case m.enough():
+		m.verdict = Partial
+	case m.wasSent():
+		m.verdict = Expired
+	default:
+		m.verdict = m.failure()
+	}
+}
+
+func (m *Machine) enough() bool { return m.plan.Route.Gather != nil && m.covered >= m.need }
+
+// timeForPartial reports whether a partial answer now is better than a fuller one later: within the latency objective it
+// is, and after it only when the rest has had its time.
+func (m *Machine) timeForPartial(now time.Time) bool {
+	times := m.plan.Times
+	return (!now.Before(times.PartialAt) && now.Before(times.ObjectiveAt)) || !now.Before(times.SettleAt)
+}
+
+func (m *Machine) wasSent() bool {
+	return m.ran || slices.ContainsFunc(m.legs, func(l legState) bool { return l.open > 0 })
+}
+
+// failure tells whether a request that cannot succeed may have run.
+func (m *Machine) failure() Verdict {
+	if m.ran || (m.started && m.wasSent()) {
+		return Failed
+	}
+	return Refused
+}
+
+// Verdict returns how the request ended, or Pending.
+func (m *Machine) Verdict() Verdict { return m.verdict }
+
+// Covered returns the number of legs with a part and the number of all legs.
+func (m *Machine) Covered() (covered, all int) { return m.covered, len(m.legs) }
--- /dev/null
+++ b/coord/fanout/machine_test.go
@@ -0,0 +1,212 @@
+package fanout_test
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"gooseberrylane.example/coord/fanout"
+	"gooseberrylane.example/core"
+	_ "gooseberrylane.example/test/seed"
+)
+
+const hedgeDelay = 10 * time.Millisecond
+
+var start = time.Unix(1000, 0)
+
+// policies choose the first untried replica and allow a number of extra requests.
+type policies struct{ extra int }
+
+func (p *policies) Choose(_ time.Time, group *core.Group, tried []core.UpstreamID) *core.Upstream {
+	for i := range group.Upstreams {
+		if !slices.Contains(tried, group.Upstreams[i].ID) {
+			return &group.Upstreams[i]
+		}
+	}
+	return nil
+}
+
+func (p *policies) HedgeDelay(*core.Route) time.Duration { return hedgeDelay }
+
+func (p *policies) AllowExtra(time.Time, core.ServiceName) bool {
+	p.extra--
+	return p.extra >= 0
+}
+
+func group(replicas ...core.UpstreamID) *core.Group {
+	g := &core.Group{}
+	for _, id := range replicas {
+		g.Upstreams = append(g.Upstreams, core.Upstream{ID: id})
+	}
+	return g
+}
+
+func gathered(shards int, minCoverage float64) fanout.Plan {
+	route := &core.Route{
+		Idempotent: true, MaxAttempts: 2, Timeout: 400 * time.Millisecond, Objective: 40 * time.Millisecond,
+		Gather: &core.GatherRule{MinCoverage: minCoverage},
+	}
+	plan := fanout.Plan{Route: route, Times: fanout.Schedule(route, start, time.Time{}, fanout.Shares{Partial: 0.75, Settle: 0.5})}
+	for range shards {
+		plan.Legs = append(plan.Legs, fanout.Leg{Group: group("a", "b")})
+	}
+	return plan
+}
+
+func single(idempotent bool, attempts int, replicas ...core.UpstreamID) fanout.Plan {
+	route := &core.Route{Idempotent: idempotent, MaxAttempts: attempts, Timeout: time.Second, Objective: 100 * time.Millisecond}
+	return fanout.Plan{
+		Route: route, Legs: []fanout.Leg{{Group: group(replicas...)}},
+		Times: fanout.Schedule(route, start, time.Time{}, fanout.Shares{Partial: 0.75, Settle: 0.5}),
+	}
+}
+
+var (
+	success = &core.Reply{Outcome: core.OutcomeRan, Code: core.CodeOK, Status: 200}
+	shed    = &core.Reply{Outcome: core.OutcomeNotRun, Code: core.CodeShed, Status: 503}
+	failure = &core.Reply{Outcome: core.OutcomeRan, Code: core.CodeUpstreamError, Status: 500}
+	lost    = &core.Reply{Outcome: core.OutcomeUnknown, Code: core.CodeConnectionLost}
+)
+
+// TestNonIdempotentRequestIsSentOnceUnlessNotRun guards against a request that runs twice.
+func TestNonIdempotentRequestIsSentOnceUnlessNotRun(t *testing.T) {
+	c := qt.New(t)
+	for _, reply := range []*core.Reply{failure, lost} {
+		m := fanout.New(single(false, 3, "a", "b"), &policies{extra: 9})
+		c.Assert(m.Start(start), qt.HasLen, 1)
+		c.Assert(m.Wake(start.Add(500*time.Millisecond)), qt.HasLen, 0)
+		c.Assert(m.Finished(start, 0, reply), qt.HasLen, 0)
+		c.Assert(m.Verdict(), qt.Equals, fanout.Failed)
+	}
+	m := fanout.New(single(false, 3, "a", "b"), &policies{extra: 9})
+	m.Start(start)
+	c.Assert(m.Finished(start, 0, shed), qt.HasLen, 1)
+	m.Finished(start, 0, shed)
+	c.Assert(m.Verdict(), qt.Equals, fanout.Refused)
+}
+
+// TestNotRunAfterLostAttemptIsNotARefusal guards against a promise that nothing ran after an attempt with an unknown outcome.
+func TestNotRunAfterLostAttemptIsNotARefusal(t *testing.T) {
+	c := qt.New(t)
+	m := fanout.New(single(true, 2, "a", "b"), &policies{extra: 9})
+	m.Start(start)
+	c.Assert(m.Finished(start, 0, lost), qt.HasLen, 1)
+	m.Finished(start, 0, shed)
+	c.Assert(m.Verdict(), qt.Equals, fanout.Failed)
+}
+
+// TestPausedReplicaIsHedged guards against a query that waits for one paused replica while another could answer.
+func TestPausedReplicaIsHedged(t *testing.T) {
+	c := qt.New(t)
+	m := fanout.New(gathered(2, 0.5), &policies{extra: 9})
+	c.Assert(m.Start(start), qt.HasLen, 2)
+	m.Finished(start.Add(time.Millisecond), 0, success)
+	c.Assert(m.Next(), qt.Equals, start.Add(hedgeDelay))
+	sends := m.Wake(start.Add(hedgeDelay))
+	c.Assert(sends, qt.HasLen, 1)
+	c.Assert(sends[0].Reason, qt.Equals, fanout.Hedge)
+	c.Assert(sends[0].Upstream.ID, qt.Equals, core.UpstreamID("b"))
+	m.Finished(start.Add(12*time.Millisecond), 1, success)
+	c.Assert(m.Verdict(), qt.Equals, fanout.Complete)
+}
+
+// TestPartialAnswerWithinTheObjective guards against a query that misses its latency objective for one part that it need
+// not have, and against one that gives up on parts once the objective is missed anyway.
+func TestPartialAnswerWithinTheObjective(t *testing.T) {
+	c := qt.New(t)
+	m := fanout.New(gathered(4, 0.75), &policies{})
+	m.Start(start)
+	for leg := range 3 {
+		m.Finished(start.Add(time.Millisecond), leg, success)
+	}
+	m.Wake(start.Add(29 * time.Millisecond))
+	c.Assert(m.Verdict(), qt.Equals, fanout.Pending)
+	m.Wake(start.Add(30 * time.Millisecond))
+	c.Assert(m.Verdict(), qt.Equals, fanout.Partial)
+
+	late := fanout.New(gathered(4, 0.75), &policies{})
+	late.Start(start)
+	for leg := range 3 {
+		late.Finished(start.Add(50*time.Millisecond), leg, success)
+	}
+	c.Assert(late.Verdict(), qt.Equals, fanout.Pending)
+	late.Wake(start.Add(200 * time.Millisecond))
+	c.Assert(late.Verdict(), qt.Equals, fanout.Partial)
+}
+
+// TestHopelessQueryEndsAtOnce guards against a query that waits for its deadline though too many shards are lost.
+func TestHopelessQueryEndsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	plan := gathered(4, 0.75)
+	plan.Legs[0].Group, plan.Legs[1].Group = nil, nil
+	m := fanout.New(plan, &policies{extra: 9})
+	c.Assert(m.Start(start), qt.HasLen, 0)
+	c.Assert(m.Verdict(), qt.Equals, fanout.Refused)
+}
+
+// TestExpiry guards against an answer that claims that a request did not run while an upstream works on it.
+func TestExpiry(t *testing.T) {
+	c := qt.New(t)
+	m := fanout.New(single(false, 1, "a"), &policies{})
+	m.Start(start)
+	c.Assert(m.Next(), qt.Equals, start.Add(time.Second))
+	m.Wake(start.Add(time.Second))
+	c.Assert(m.Verdict(), qt.Equals, fanout.Expired)
+}
+
+// TestAttemptsAreBounded guards against more upstreams than the route allows, and against a non-idempotent request at two
+// upstreams of which one may run it, for any order of replies.
+func TestAttemptsAreBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		attempts, idempotent := rapid.IntRange(1, 4).Draw(rt, "attempts"), rapid.Bool().Draw(rt, "idempotent")
+		m := fanout.New(single(idempotent, attempts, "a", "b", "c", "d", "e"), &policies{extra: 99})
+		now, sent, mayHaveRun := start, 1, 0
+		open := len(m.Start(now))
+		for m.Verdict() == fanout.Pending {
+			var sends []fanout.Send
+			if open > 0 && rapid.Bool().Draw(rt, "reply") {
+				open--
+				reply := rapid.SampledFrom([]*core.Reply{success, shed, failure, lost}).Draw(rt, "kind")
+				if reply.Outcome != core.OutcomeNotRun {
+					mayHaveRun++
+				}
+				sends = m.Finished(now, 0, reply)
+			} else {
+				now = now.Add(hedgeDelay)
+				sends = m.Wake(now)
+			}
+			open, sent = open+len(sends), sent+len(sends)
+		}
+		if sent > attempts || (!idempotent && mayHaveRun+open > 1) {
+			rt.Fatalf("%d sends, at most %d allowed; %d may have run, %d open", sent, attempts, mayHaveRun, open)
+		}
+		if m.Verdict() == fanout.Refused && mayHaveRun+open > 0 {
+			rt.Fatalf("refused as not run although %d may have run", mayHaveRun+open)
+		}
+	})
+}
+
+// TestTop guards against a merged answer that is not the greatest records of its parts.
+func TestTop(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		limit := rapid.IntRange(1, 6).Draw(rt, "limit")
+		top := fanout.NewTop(limit)
+		var all [][]byte
+		for range rapid.IntRange(0, 12).Draw(rt, "parts") {
+			part := rapid.SliceOfN(rapid.ByteRange(0, 2), 0, 20*fanout.RecordBytes).Draw(rt, "part")
+			top.Add(part)
+			for rest := part; len(rest) >= fanout.RecordBytes; rest = rest[fanout.RecordBytes:] {
+				all = append(all, rest[:fanout.RecordBytes])
+			}
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		want := bytes.Join(all[:min(limit, len(all))], nil)
+		if got := top.Bytes(); !bytes.Equal(got, want) {
+			rt.Fatalf("got %x, want %x", got, want)
+		}
+	})
+}
--- a/core/code.go
+++ b/core/code.go
@@ -33,6 +33,7 @@
 	CodeBadWriteTarget   Code = 2008
 	CodeMethodNotAllowed Code = 2009
 	CodeRequestIDReused  Code = 2010
+	CodeUnknownRoute     Code = 2011
 
 	CodeNotRun              Code = 3000
 	CodeOverloaded          Code = 3001
@@ -43,6 +44,7 @@
 	CodePlatformUnavailable Code = 3006
 	CodeExpired             Code = 3007
 	CodeConnectFailed       Code = 3008
+	CodeUpstreamMoved       Code = 3009
 
 	CodeOutcomeUnknown Code = 4000
 	CodeInProgress     Code = 4001
@@ -55,6 +57,7 @@
 	CodeNotKnownYet      Code = 5004
 	CodeAlreadyConfirmed Code = 5005
 	CodeConflict         Code = 5006
+	CodeHistoryGone      Code = 5007
 
 	CodeBadSettings   Code = 6000
 	CodeUnknownPlugin Code = 6001
@@ -94,6 +97,7 @@
 	{CodeBadWriteTarget, "bad_write_target", "A non-idempotent request must name exactly one shard."},
 	{CodeMethodNotAllowed, "method_not_allowed", "The path does not support the method."},
 	{CodeRequestIDReused, "request_id_reused", "The request ID belongs to an earlier request with another content."},
+	{CodeUnknownRoute, "unknown_route", "No route of the table in force matches the host and the path."},
 
 	{CodeNotRun, "not_run", "The request did not run."},
 	{CodeOverloaded, "overloaded", "The request was refused before it ran because queues are full."},
@@ -104,6 +108,7 @@
 	{CodePlatformUnavailable, "platform_unavailable", "The platform's object API did not answer; nothing was run or changed."},
 	{CodeExpired, "expired", "The deadline had passed before the work began."},
 	{CodeConnectFailed, "connect_failed", "No connection could be opened; nothing was sent."},
+	{CodeUpstreamMoved, "upstream_moved", "Another upstream has the address now; the request did not run."},
 
 	{CodeOutcomeUnknown, "outcome_unknown", "The request was sent and its outcome is not known; it is not sent again."},
 	{CodeInProgress, "in_progress", "A request with the same ID is running."},
@@ -116,6 +121,7 @@
 	{CodeNotKnownYet, "not_known_yet", "The platform did not tell whether the write took effect; confirming again is safe."},
 	{CodeAlreadyConfirmed, "already_confirmed", "The plan is already part of the history."},
 	{CodeConflict, "conflict", "The object changed since it was read."},
+	{CodeHistoryGone, "history_gone", "The store no longer has the history that a watch asked for; list again."},
 
 	{CodeBadSettings, "bad_settings", "The settings have problems; all of them are listed with their paths."},
 	{CodeUnknownPlugin, "unknown_plugin", "The settings name a plug-in that is not linked."},
--- a/core/view.go
+++ b/core/view.go
@@ -123,6 +123,8 @@
 	EjectedUntil atomic.Int64
 	// FailuresInRow counts failed attempts since the last success; Ejections counts ejections since the last stable time.
 	FailuresInRow, Ejections atomic.Int64
+	// ColdUntil is the Unix time in nanoseconds until which the upstream is slow after its start.
+	ColdUntil atomic.Int64
 	// LastChosen and LastShed are Unix times in nanoseconds of the last attempt and the last refusal because of load.
 	LastChosen, LastShed atomic.Int64
 	latency              atomic.Uint64
@@ -200,8 +202,12 @@
 	Config    *ConfigSet
 	Members   *Members
 	Ownership *Ownership
-	// Upstreams holds the observed state of each upstream of Config.
+	// Upstreams holds the observed state of each upstream of Config and Registered.
 	Upstreams Map[UpstreamID, *UpstreamState]
+	// Routes is the table of routes in force, nil before the first.
+	Routes *RouteTable
+	// Registered holds the upstreams of the services of Routes.
+	Registered *RegisteredUpstreams
 	// Ready is false until the VM has a configuration and while it stops.
 	Ready bool
 	// PlatformSince is the time of the last contact with the platform; zero before the first.
--- a/kernel/app.go
+++ b/kernel/app.go
@@ -34,8 +34,10 @@
 // App is one running set of plug-ins.
 type App struct {
 	fx          *fx.App
-	log         *slog.Logger
+	reloaders   []Reloader
 	stopTimeout time.Duration
+	// Log is the log of the application.
+	Log *slog.Logger
 	// State is the published state of the application.
 	State *State
 	// Identity is the identity of the process.
@@ -62,13 +64,13 @@
 		Incarnation: core.Incarnation(clock.Now().UnixNano()),
 	}
 	app := &App{
-		log:         newLogger(opts.Log, settings.LogLevel, identity),
+		Log:         newLogger(opts.Log, settings.LogLevel, identity),
 		stopTimeout: time.Duration(settings.StopTimeoutMS) * time.Millisecond,
 		State:       NewState(),
 		Identity:    identity,
 	}
 	options := []fx.Option{
-		fx.Supply(identity, app.State, app.log, NewRandom(settings.Seed)),
+		fx.Supply(identity, app.State, app.Log, NewRandom(settings.Seed)),
 		fx.Provide(func() Clock { return clock }),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(app.stopTimeout),
@@ -77,6 +79,7 @@
 	for _, selected := range loaded.Selected {
 		options = append(options, selected.Plugin.Options(selected.Settings))
 	}
+	options = append(options, fx.Invoke(func(in reloaders) { app.reloaders = in.Reloaders }))
 	options = append(options, opts.Extra...)
 	app.fx = fx.New(options...)
 	if err := app.fx.Err(); err != nil {
@@ -85,6 +88,33 @@
 	return app, nil
 }
 
+// Reloader is implemented by plug-ins that take changed settings while they run; others keep theirs until the next start.
+type Reloader interface {
+	// Reload takes checked settings of the plug-in's own type. It must not block.
+	Reload(settings any)
+	// Plugin returns the kind and the name of the plug-in.
+	Plugin() (Kind, string)
+}
+
+// ReloaderGroup is the fx group to which plug-ins add a Reloader.
+const ReloaderGroup = `group:"reloaders"`
+
+type reloaders struct {
+	fx.In
+	Reloaders []Reloader `group:"reloaders"`
+}
+
+// Reload hands changed settings to the plug-ins that can take them.
+func (a *App) Reload(loaded *Loaded) {
+	for _, selected := range loaded.Selected {
+		for _, r := range a.reloaders {
+			if kind, name := r.Plugin(); kind == selected.Plugin.Kind && name == selected.Plugin.Name {
+				r.Reload(selected.Settings)
+			}
+		}
+	}
+}
+
 // misfitError describes a choice of plug-ins that do not fit together, such as one that needs a kind that no plug-in
 // provides. The message of fx names the Go functions too, which only helps those who write plug-ins.
 func misfitError(err error) error {
@@ -111,10 +141,10 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := a.fx.Start(ctx); err != nil {
-		a.log.Error("start_failed", "error", err.Error())
+		a.Log.Error("start_failed", "error", err.Error())
 		return Lifecycle.Wrap(err)
 	}
-	a.log.Info("started", "failure_domain", string(a.Identity.Domain))
+	a.Log.Info("started", "failure_domain", string(a.Identity.Domain))
 	return nil
 }
 
@@ -122,13 +152,13 @@
 func (a *App) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, a.stopTimeout)
 	defer cancel()
-	a.log.Info("stopping")
+	a.Log.Info("stopping")
 	err := a.fx.Stop(ctx)
 	if err != nil {
-		a.log.Error("stop_incomplete", "error", err.Error())
+		a.Log.Error("stop_incomplete", "error", err.Error())
 		return Lifecycle.Wrap(err)
 	}
-	a.log.Info("stopped")
+	a.Log.Info("stopped")
 	return nil
 }
 
--- /dev/null
+++ b/kernel/kinds/gateway.go
@@ -0,0 +1,95 @@
+package kinds
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"gooseberrylane.example/coord/catalog"
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+)
+
+// Kinds of plug-ins of a VM that passes requests on by routes. Exactly one plug-in is chosen of each kind.
+const (
+	// WireKind plug-ins know the names and formats of requests and answers and provide Wire.
+	WireKind kernel.Kind = "wire"
+	// CatalogStoreKind plug-ins read routes and registered upstreams from the platform and provide CatalogStore.
+	CatalogStoreKind kernel.Kind = "catalog_store"
+	// CatalogKind plug-ins keep the routes and the registered upstreams in the view up to date and provide Catalog.
+	CatalogKind kernel.Kind = "catalog"
+	// RouterKind plug-ins run requests on routes and provide Router.
+	RouterKind kernel.Kind = "router"
+	// UpstreamClientKind plug-ins send requests to registered upstreams and provide UpstreamClient.
+	UpstreamClientKind kernel.Kind = "upstream_client"
+)
+
+// Wire translates between the types of the project and the headers of callers and upstreams. It decides nothing.
+type Wire interface {
+	// DecodeRequest fills in what the headers of a caller's request say. The error is a *core.Error with CodeBadRequest.
+	DecodeRequest(h http.Header, into *core.ForwardRequest) error
+	// EncodeRequest returns the headers of a request at one upstream. left is the time that the upstream may take.
+	EncodeRequest(r *core.ForwardRequest, to core.UpstreamID, left time.Duration) []core.HeaderField
+	// DecodeReply reads the status and the headers of an upstream's answer to a request. The error tells that the answer
+	// belongs to another request, so nothing in it may be used.
+	DecodeReply(id core.RequestID, status int, h http.Header) (core.Reply, error)
+	// EncodeGathered returns the headers of a gathered answer with the proofs of its parts and the number of shards that
+	// are missing.
+	EncodeGathered(proofs []string, missing int) []core.HeaderField
+}
+
+// Cursor is a position in the history of the store.
+type Cursor uint64
+
+// CatalogStore reads what operators and upstreams wrote to the platform's store. Errors are *core.Error:
+// CodePlatformUnavailable when the store did not answer, CodeNotFound when no table exists, CodeHistoryGone when a watch
+// must begin anew with a list.
+type CatalogStore interface {
+	// Routes returns the newest table of routes.
+	Routes(ctx context.Context) (*core.RouteTable, Cursor, error)
+	// WatchRoutes waits for a later table. A nil table without an error means that the wait ended without a change.
+	WatchRoutes(ctx context.Context, after Cursor, wait time.Duration) (*core.RouteTable, Cursor, error)
+	// Upstreams returns the entries of all upstreams, those that cannot be read included.
+	Upstreams(ctx context.Context) ([]catalog.Entry, Cursor, error)
+	// WatchUpstreams waits for changed entries.
+	WatchUpstreams(ctx context.Context, after Cursor, wait time.Duration) ([]catalog.Entry, Cursor, error)
+}
+
+// Catalog keeps routes and registered upstreams in the view up to date.
+type Catalog interface {
+	// Doubt tells that an upstream answered that it is not the one that the registered address belongs to.
+	Doubt(id core.UpstreamID)
+}
+
+// Attempt is one sending of a request to one upstream.
+type Attempt struct {
+	Request *core.ForwardRequest
+	To      *core.Upstream
+	// Deadline is when the upstream may stop its work.
+	Deadline time.Time
+	// Once is true for a request that must not be sent again when its outcome is unknown.
+	Once bool
+}
+
+// UpstreamClient sends requests to registered upstreams.
+type UpstreamClient interface {
+	// Send sends a request and waits for the whole answer until ctx ends. Ending ctx closes the connection.
+	Send(ctx context.Context, a Attempt) core.Reply
+}
+
+// RoutedAnswer is the final answer to a caller.
+type RoutedAnswer struct {
+	Status int
+	Header []core.HeaderField
+	Body   []byte
+	// Error is set on an answer of the tier's own that is not a success.
+	Error *core.Error
+	// RetryAfter is when a refused request may come back, 0 when the answer promises nothing.
+	RetryAfter time.Duration
+}
+
+// Router runs requests on routes.
+type Router interface {
+	// Route returns the answer to a request. Cancelling ctx tells that the caller has gone.
+	Route(ctx context.Context, r *core.ForwardRequest) RoutedAnswer
+}
--- /dev/null
+++ b/kernel/logsink/logsink.go
@@ -0,0 +1,127 @@
+// Package logsink writes log lines in the background, so that a slow reader of the log never delays a request. What does
+// not fit is dropped and counted.
+package logsink
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queueLines is the number of lines that wait for a slow reader, about 1 MB.
+	queueLines = 4096
+	// DefaultBytesPerSecond bounds the volume; the processor time of more lines would slow down requests.
+	DefaultBytesPerSecond = 64 << 10
+	// burstSeconds is how many seconds of quiet may be made up for at once.
+	burstSeconds = 4
+	// reportPeriod is how often the number of dropped lines is written.
+	reportPeriod = 5 * time.Second
+)
+
+// Sink is an io.Writer that takes whole lines and never blocks.
+type Sink struct {
+	out     io.Writer
+	lines   chan []byte
+	stop    chan struct{}
+	done    chan struct{}
+	once    sync.Once
+	dropped atomic.Uint64
+	// allowance is the number of bytes that may be written now; refilled is the time up to which it was filled.
+	mu        sync.Mutex
+	perSecond float64
+	allowance float64
+	refilled  time.Time
+}
+
+// New returns a sink that writes to out at most bytesPerSecond in the long run.
+func New(out io.Writer, bytesPerSecond int) *Sink {
+	s := &Sink{
+		out: out, lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{}),
+		perSecond: float64(bytesPerSecond), allowance: burstSeconds * float64(bytesPerSecond), refilled: time.Now(),
+	}
+	go s.run()
+	return s
+}
+
+// Write implements io.Writer. It always reports success: a caller cannot do anything about a dropped line.
+func (s *Sink) Write(line []byte) (int, error) {
+	if !s.allowed(len(line)) {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (s *Sink) allowed(n int) bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allowance = min(s.allowance+s.perSecond*now.Sub(s.refilled).Seconds(), burstSeconds*s.perSecond)
+	s.refilled = now
+	if s.allowance < float64(n) {
+		return false
+	}
+	s.allowance -= float64(n)
+	return true
+}
+
+// Dropped returns the number of dropped lines.
+func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
+
+func (s *Sink) run() {
+	defer close(s.done)
+	report := time.NewTicker(reportPeriod)
+	defer report.Stop()
+	var reported uint64
+	for {
+		select {
+		case line := <-s.lines:
+			// Nobody is left to tell of a log that cannot be written.
+			_, _ = s.out.Write(line)
+		case <-report.C:
+			reported = s.report(reported)
+		case <-s.stop:
+			s.drain()
+			s.report(reported)
+			return
+		}
+	}
+}
+
+func (s *Sink) report(reported uint64) uint64 {
+	dropped := s.dropped.Load()
+	if dropped > reported {
+		_, _ = fmt.Fprintf(s.out, `{"time":%q,"level":"WARN","msg":"log_lines_dropped","lines":%d}`+"\n", time.Now().Format(time.RFC3339Nano), dropped-reported)
+	}
+	return dropped
+}
+
+func (s *Sink) drain() {
+	for {
+		select {
+		case line := <-s.lines:
+			_, _ = s.out.Write(line)
+		default:
+			return
+		}
+	}
+}
+
+// Close writes the lines that wait, for at most a time.
+func (s *Sink) Close(limit time.Duration) {
+	s.once.Do(func() { close(s.stop) })
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-s.done:
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/plugins/catalog/store/store.go
@@ -0,0 +1,350 @@
+// Package store is the plug-in that follows the platform's store and publishes the routes and the registered upstreams.
+package store
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"gooseberrylane.example/coord/catalog"
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind: kinds.CatalogKind, Name: "store",
+		Settings: func() any {
+			return &Settings{WatchMS: defaultWatchMS, RetryMS: defaultRetryMS, MaxRetryMS: defaultMaxRetryMS, GraceMS: defaultGraceMS}
+		},
+		Options: func(s any) fx.Option {
+			return fx.Provide(func(lc fx.Lifecycle, p params) provided {
+				f := newFollower(lc, p, s.(*Settings))
+				return provided{Catalog: f, Metrics: f.metrics()}
+			})
+		},
+	})
+}
+
+const (
+	defaultWatchMS    = 6000
+	defaultRetryMS    = 150
+	defaultMaxRetryMS = 1000
+	// defaultGraceMS covers the two seconds within which live upstreams register again after an outage of the store.
+	defaultGraceMS = 2500
+)
+
+// Settings of the plug-in.
+type Settings struct {
+	// WatchMS is the length of one waiting watch, in milliseconds. Default 6000.
+	WatchMS int64 `json:"watch_ms" validate:"gte=100,lte=30000"`
+	// RetryMS is the mean pause after a failed call, in milliseconds; it doubles up to MaxRetryMS. Default 150.
+	RetryMS int64 `json:"retry_ms" validate:"gte=1,lte=60000"`
+	// MaxRetryMS bounds the mean pause, in milliseconds. Default 1000.
+	MaxRetryMS int64 `json:"max_retry_ms" validate:"gte=1,lte=60000"`
+	// GraceMS is how long after the return of the store an upstream that vanished is still used, in milliseconds.
+	// Default 2500.
+	GraceMS int64 `json:"grace_ms" validate:"gte=0,lte=60000"`
+}
+
+type params struct {
+	fx.In
+	Store  kinds.CatalogStore
+	State  *kernel.State
+	Clock  kernel.Clock
+	Random *kernel.Random
+	Log    *slog.Logger
+}
+
+type provided struct {
+	fx.Out
+	Catalog kinds.Catalog
+	Metrics []kinds.Metric `group:"metrics,flatten"`
+}
+
+// follower keeps the view up to date.
+type follower struct {
+	params
+	settings *Settings
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+	// failures and lists count failed calls and complete lists.
+	failures, lists atomic.Uint64
+	// away is set when a call got no answer, so that the store may have dropped live entries meanwhile.
+	away atomic.Bool
+
+	mu           sync.Mutex
+	directory    *catalog.Directory
+	incarnations map[core.UpstreamID]catalog.Incarnation
+	listed       bool
+	expiry       *time.Timer
+}
+
+func newFollower(lc fx.Lifecycle, p params, settings *Settings) *follower {
+	f := &follower{
+		params: p, settings: settings, directory: catalog.NewDirectory(millis(settings.GraceMS)),
+		incarnations: make(map[core.UpstreamID]catalog.Incarnation),
+	}
+	lc.Append(fx.Hook{OnStart: f.start, OnStop: f.shutdown})
+	return f
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func (f *follower) start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	f.expiry = time.AfterFunc(time.Hour, f.expire)
+	f.expiry.Stop()
+	f.done.Go(func() { f.follow(ctx, "routes", f.listRoutes, f.watchRoutes) })
+	f.done.Go(func() { f.follow(ctx, "upstreams", f.listUpstreams, f.watchUpstreams) })
+	return nil
+}
+
+func (f *follower) shutdown(context.Context) error {
+	f.stop()
+	f.expiry.Stop()
+	f.done.Wait()
+	return nil
+}
+
+// follow lists once and then watches. After a failed watch it lists again, because the watch may have missed changes.
+func (f *follower) follow(ctx context.Context, what string, list func(context.Context) (kinds.Cursor, error), watch func(context.Context, kinds.Cursor) (kinds.Cursor, error)) {
+	link := &link{follower: f, what: what, random: f.Random.Generator()}
+	for ctx.Err() == nil {
+		cursor, err := list(ctx)
+		f.lists.Add(1)
+		for err == nil {
+			link.answered()
+			cursor, err = watch(ctx, cursor)
+		}
+		link.failed(ctx, err)
+	}
+}
+
+// link is what one loop knows of its connection to the store.
+type link struct {
+	*follower
+	what   string
+	random *rand.Rand
+	// failedInRow counts calls without an answer; lostAt is the time of the first of them.
+	failedInRow int
+	lostAt      time.Time
+}
+
+// answered notes that the store answers.
+func (l *link) answered() {
+	if l.failedInRow == 0 {
+		return
+	}
+	now := l.Clock.Now()
+	l.Log.Info("store_regained", "what", l.what, "failed_calls", l.failedInRow, "away_ms", now.Sub(l.lostAt).Milliseconds())
+	l.failedInRow = 0
+}
+
+// failed waits before the next list. A history that is gone is no failure of the store, but lists of all VMs at once are
+// spread out all the same.
+func (l *link) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	l.failures.Add(1)
+	pause := millis(l.settings.RetryMS)
+	if codeOf(err) == core.CodeHistoryGone {
+		l.Log.Info("store_history_gone", "what", l.what)
+	} else {
+		if l.failedInRow == 0 {
+			l.lostAt = l.Clock.Now()
+			l.Log.Warn("store_lost", "what", l.what, "error", err.Error())
+		}
+		for range min(l.failedInRow, 10) {
+			pause = min(2*pause, millis(l.settings.MaxRetryMS))
+		}
+		l.failedInRow++
+		l.away.Store(true)
+	}
+	// The pause is spread by half of itself in both directions, so that VMs do not come back together.
+	timer := time.NewTimer(time.Duration((0.5 + l.random.Float64()) * float64(pause)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func codeOf(err error) core.Code {
+	var coded *core.Error
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	return core.CodeInternal
+}
+
+func (f *follower) listRoutes(ctx context.Context) (kinds.Cursor, error) {
+	table, cursor, err := f.Store.Routes(ctx)
+	if codeOf(err) == core.CodeNotFound {
+		// No operator has written a table yet; the watch tells of the first.
+		return cursor, nil
+	}
+	if err == nil {
+		f.apply(table, "list")
+	}
+	return cursor, err
+}
+
+func (f *follower) watchRoutes(ctx context.Context, after kinds.Cursor) (kinds.Cursor, error) {
+	table, cursor, err := f.Store.WatchRoutes(ctx, after, millis(f.settings.WatchMS))
+	if err == nil && table != nil {
+		f.apply(table, "watch")
+	}
+	return cursor, err
+}
+
+// apply puts a table in force unless a later one is.
+func (f *follower) apply(table *core.RouteTable, source string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if current := f.State.Load().Routes; current != nil && table.Version <= current.Version {
+		if table.Version < current.Version {
+			f.Log.Warn("routes_refused", "version", uint64(table.Version), "in_force", uint64(current.Version), "source", source)
+		}
+		return
+	}
+	f.publish(table)
+	f.Log.Info("routes_applied", "version", uint64(table.Version), "routes", len(table.Routes), "services", len(table.Services), "source", source)
+}
+
+func (f *follower) listUpstreams(ctx context.Context) (kinds.Cursor, error) {
+	entries, cursor, err := f.Store.Upstreams(ctx)
+	if err != nil {
+		return cursor, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	if f.away.Swap(false) {
+		f.directory.Regained(now)
+	}
+	changed := f.directory.Replace(now, entries) || !f.listed
+	f.listed = true
+	f.update(now, changed, "list", len(entries))
+	return cursor, nil
+}
+
+func (f *follower) watchUpstreams(ctx context.Context, after kinds.Cursor) (kinds.Cursor, error) {
+	entries, cursor, err := f.Store.WatchUpstreams(ctx, after, millis(f.settings.WatchMS))
+	if err != nil {
+		return cursor, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	changed := false
+	for i := range entries {
+		changed = f.directory.Put(now, entries[i]) || changed
+		f.logEntry(&entries[i])
+	}
+	f.update(now, changed, "watch", len(entries))
+	return cursor, nil
+}
+
+func (f *follower) logEntry(e *catalog.Entry) {
+	switch {
+	case e.Deleted:
+		f.Log.Info("upstream_removed", "upstream", string(e.ID), "entry_revision", e.Revision)
+	case e.Damaged != "":
+		f.Log.Warn("upstream_entry_damaged", "upstream", string(e.ID), "entry_revision", e.Revision, "error", e.Damaged)
+	case e.Draining:
+		f.Log.Info("upstream_draining", "upstream", string(e.ID), "service", string(e.Service), "entry_revision", e.Revision)
+	default:
+		f.Log.Info("upstream_registered", "upstream", string(e.ID), "service", string(e.Service), "entry_revision", e.Revision, "cold_ms", e.ColdFor.Milliseconds())
+	}
+}
+
+// update publishes the directory if it changed and plans the end of grace times. The caller holds mu.
+func (f *follower) update(now time.Time, changed bool, source string, entries int) {
+	expired, next := f.directory.Expire(now)
+	if !next.IsZero() {
+		f.expiry.Reset(next.Sub(now))
+	}
+	if !changed && !expired {
+		return
+	}
+	f.publish(nil)
+	f.Log.Info("upstreams_applied", "entries", f.directory.Len(), "changed_entries", entries, "source", source)
+}
+
+func (f *follower) expire() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.update(f.Clock.Now(), false, "grace_over", 0)
+}
+
+// publish puts the directory, and a table unless it is nil, in force. The caller holds mu.
+func (f *follower) publish(table *core.RouteTable) {
+	f.State.Update(func(v *core.View) {
+		if table != nil {
+			v.Routes = table
+		}
+		v.Registered = f.directory.Usable(v.Routes)
+		v.Upstreams = f.states(v.Upstreams, v.Registered)
+		v.Ready = v.Routes != nil && f.listed
+	})
+}
+
+// states returns the observed states of the usable upstreams. An upstream that started again is observed anew.
+func (f *follower) states(old core.Map[core.UpstreamID, *core.UpstreamState], registered *core.RegisteredUpstreams) core.Map[core.UpstreamID, *core.UpstreamState] {
+	edit := old.Edit()
+	seen := make(map[core.UpstreamID]bool)
+	for _, group := range registered.Groups {
+		for i := range group.Upstreams {
+			id := group.Upstreams[i].ID
+			seen[id] = true
+			incarnation, _ := f.directory.Incarnation(id)
+			state, known := edit.Get(id)
+			before := f.incarnations[id]
+			if !known || before.Address != incarnation.Address || before.Born != incarnation.Born {
+				state = &core.UpstreamState{}
+				edit.Set(id, state)
+			}
+			state.ColdUntil.Store(incarnation.ColdUntil.UnixNano())
+			f.incarnations[id] = incarnation
+		}
+	}
+	for id := range old.All() {
+		if !seen[id] {
+			// Requests that loaded an earlier view must not choose it any more.
+			old.Value(id).DrainSince.Store(f.Clock.Now().UnixNano())
+			edit.Delete(id)
+			delete(f.incarnations, id)
+		}
+	}
+	return edit.Done()
+}
+
+// Doubt implements kinds.Catalog. The upstream gets no work until its entry changes.
+func (f *follower) Doubt(id core.UpstreamID) {
+	if state := f.State.Load().State(id); state != nil && state.DrainSince.CompareAndSwap(0, f.Clock.Now().UnixNano()) {
+		f.Log.Warn("upstream_moved", "upstream", string(id))
+	}
+}
+
+func (f *follower) metrics() []kinds.Metric {
+	return []kinds.Metric{
+		{Name: "store_calls_failed", Value: func() any { return f.failures.Load() }},
+		{Name: "store_lists", Value: func() any { return f.lists.Load() }},
+		{Name: "routes_version", Value: func() any {
+			if table := f.State.Load().Routes; table != nil {
+				return uint64(table.Version)
+			}
+			return 0
+		}},
+	}
+}
--- /dev/null
+++ b/plugins/client/http1/client.go
@@ -0,0 +1,154 @@
+// Package http1 is the plug-in that sends requests to registered upstreams over HTTP/1.1, one request at a time on each
+// connection. It never repeats a request by itself, which the client of net/http does.
+package http1
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind: kinds.UpstreamClientKind, Name: "http1",
+		Settings: func() any {
+			return &Settings{DialTimeoutMS: defaultDialTimeoutMS, IdleMS: defaultIdleMS, MaxAnswerBytes: defaultMaxAnswerBytes}
+		},
+		Options: func(s any) fx.Option {
+			return fx.Provide(func(lc fx.Lifecycle, p params) provided {
+				c := newClient(p, s.(*Settings))
+				lc.Append(fx.Hook{OnStart: c.start, OnStop: c.shutdown})
+				return provided{Client: c, Metrics: c.metrics()}
+			})
+		},
+	})
+}
+
+const (
+	defaultDialTimeoutMS  = 1000
+	defaultIdleMS         = 4000
+	defaultMaxAnswerBytes = 4 << 20
+	// sweepPeriod is how often idle connections are checked for their age.
+	sweepPeriod = time.Second
+)
+
+// Settings of the plug-in.
+type Settings struct {
+	// DialTimeoutMS bounds the opening of a connection, in milliseconds. Default 1000.
+	DialTimeoutMS int64 `json:"dial_timeout_ms" validate:"gte=1,lte=60000"`
+	// IdleMS is how long an idle connection is kept, in milliseconds; an upstream may ask for less. Default 4000.
+	IdleMS int64 `json:"idle_ms" validate:"gte=0,lte=600000"`
+	// MaxAnswerBytes bounds the body of an answer. Default 4194304.
+	MaxAnswerBytes int64 `json:"max_answer_bytes" validate:"gte=1"`
+}
+
+type params struct {
+	fx.In
+	Wire  kinds.Wire
+	State *kernel.State
+	Log   *slog.Logger
+}
+
+type provided struct {
+	fx.Out
+	Client  kinds.UpstreamClient
+	Metrics []kinds.Metric `group:"metrics,flatten"`
+}
+
+type client struct {
+	params
+	settings *Settings
+	// pools maps poolKey to *pool.
+	pools sync.Map
+	stop  chan struct{}
+	done  sync.WaitGroup
+	// opened counts connections, foreign answers that belonged to another request.
+	opened, foreign atomic.Uint64
+}
+
+// poolKey tells apart the upstreams that use one ID or one address after each other.
+type poolKey struct {
+	id      core.UpstreamID
+	address string
+}
+
+func newClient(p params, settings *Settings) *client {
+	return &client{params: p, settings: settings, stop: make(chan struct{})}
+}
+
+func (c *client) pool(to *core.Upstream) *pool {
+	key := poolKey{to.ID, to.Address}
+	if p, ok := c.pools.Load(key); ok {
+		return p.(*pool)
+	}
+	p, _ := c.pools.LoadOrStore(key, &pool{client: c, key: key})
+	return p.(*pool)
+}
+
+// Send implements kinds.UpstreamClient.
+func (c *client) Send(ctx context.Context, a kinds.Attempt) core.Reply {
+	p := c.pool(a.To)
+	cn, err := p.take(ctx, a.Once)
+	if err != nil {
+		return core.Reply{Outcome: core.OutcomeNotRun, Code: core.CodeConnectFailed, Detail: err.Error()}
+	}
+	reply, reusable := cn.exchange(ctx, &a)
+	if reusable {
+		p.put(cn)
+	} else {
+		cn.close()
+		p.distrust(cn, &reply)
+	}
+	return reply
+}
+
+func (c *client) start(context.Context) error {
+	c.done.Go(c.sweep)
+	return nil
+}
+
+// sweep closes connections that were idle for too long and those of upstreams that have left.
+func (c *client) sweep() {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-c.stop:
+			return
+		}
+		view := c.State.Load()
+		c.pools.Range(func(key, value any) bool {
+			registered := view.State(key.(poolKey).id) != nil
+			if value.(*pool).expire(time.Now(), !registered) && !registered {
+				c.pools.Delete(key)
+			}
+			return true
+		})
+	}
+}
+
+func (c *client) shutdown(context.Context) error {
+	close(c.stop)
+	c.done.Wait()
+	c.pools.Range(func(_, value any) bool {
+		value.(*pool).expire(time.Now(), true)
+		return true
+	})
+	return nil
+}
+
+func (c *client) metrics() []kinds.Metric {
+	return []kinds.Metric{
+		{Name: "upstream_connections_opened", Value: func() any { return c.opened.Load() }},
+		{Name: "upstream_foreign_answers", Value: func() any { return c.foreign.Load() }},
+	}
+}
--- /dev/null
+++ b/plugins/client/http1/conn.go
@@ -0,0 +1,195 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+const (
+	readBufferBytes = 2048
+	// maxAnswerHeaderBytes bounds the status line and the headers of an answer.
+	maxAnswerHeaderBytes = 64 << 10
+	// smallBodyBytes is the largest body that is written together with the headers before the answer is read.
+	smallBodyBytes = 4 << 10
+	// keepAliveMargin is subtracted from the idle time that an upstream names, for the way of the next request.
+	keepAliveMargin = 300 * time.Millisecond
+)
+
+// conn is one connection to an upstream. It carries one request at a time.
+type conn struct {
+	client *client
+	net    net.Conn
+	reader *bufio.Reader
+	limit  io.LimitedReader
+	opened time.Time
+	// used is when the last answer ended, lastSent when the last request began.
+	used, lastSent time.Time
+	maxIdle        time.Duration
+	answers        int
+}
+
+func newConn(c *client, nc net.Conn, opened time.Time) *conn {
+	cn := &conn{client: c, net: nc, opened: opened, maxIdle: time.Duration(c.settings.IdleMS) * time.Millisecond}
+	cn.limit.R = nc
+	cn.reader = bufio.NewReaderSize(&cn.limit, readBufferBytes)
+	return cn
+}
+
+func (cn *conn) close() {
+	// A connection that is given up has nothing to lose by a failed close.
+	_ = cn.net.Close()
+}
+
+// quiet reports whether the upstream has neither closed the connection nor sent bytes that no request asked for.
+func (cn *conn) quiet() bool {
+	if cn.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := cn.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		var peeked [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange sends a request and reads the whole answer. reusable tells whether the connection may carry another request.
+func (cn *conn) exchange(ctx context.Context, a *kinds.Attempt) (reply core.Reply, reusable bool) {
+	cn.lastSent = time.Now()
+	r := a.Request
+	head := requestHead(r, cn.client.Wire.EncodeRequest(r, a.To.ID, a.Deadline.Sub(cn.lastSent)))
+	forget := context.AfterFunc(ctx, func() { _ = cn.net.SetDeadline(time.Unix(1, 0)) })
+	written := cn.write(head, r.Body)
+	reply, reusable, err := cn.read(r)
+	if err != nil {
+		reply = core.Reply{Outcome: core.OutcomeUnknown, Code: failureCode(ctx), Detail: err.Error()}
+	}
+	select {
+	case writeErr := <-written:
+		reusable = reusable && writeErr == nil
+	default:
+		// The upstream answered before it took the whole body, which it may still want to read.
+		reusable = false
+	}
+	if !forget() {
+		reusable = false
+	}
+	return reply, reusable
+}
+
+func failureCode(ctx context.Context) core.Code {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return core.CodeDeadlineExceeded
+	case ctx.Err() != nil:
+		return core.CodeCancelled
+	default:
+		return core.CodeConnectionLost
+	}
+}
+
+// write sends a request. A large body is written beside the reading, because an upstream may answer first and stop reading.
+func (cn *conn) write(head, body []byte) <-chan error {
+	written := make(chan error, 1)
+	if len(body) <= smallBodyBytes {
+		_, err := cn.net.Write(append(head, body...))
+		written <- err
+		return written
+	}
+	go func() {
+		_, err := cn.net.Write(head)
+		if err == nil {
+			_, err = cn.net.Write(body)
+		}
+		written <- err
+	}()
+	return written
+}
+
+// requestHead returns the request line and the headers.
+func requestHead(r *core.ForwardRequest, fields []core.HeaderField) []byte {
+	var b bytes.Buffer
+	b.Grow(512)
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	for _, f := range fields {
+		b.WriteString(f.Name + ": " + f.Value + "\r\n")
+	}
+	if r.HasBody {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// read reads one answer.
+func (cn *conn) read(r *core.ForwardRequest) (core.Reply, bool, error) {
+	maxBody := cn.client.settings.MaxAnswerBytes
+	cn.limit.N = maxAnswerHeaderBytes + maxBody
+	var response *http.Response
+	for {
+		var err error
+		if response, err = http.ReadResponse(cn.reader, &http.Request{Method: r.Method}); err != nil {
+			return core.Reply{}, false, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			break
+		}
+	}
+	reply, err := cn.client.Wire.DecodeReply(r.ID, response.StatusCode, response.Header)
+	if err != nil {
+		cn.client.foreign.Add(1)
+		return core.Reply{}, false, err
+	}
+	reply.Body, err = io.ReadAll(io.LimitReader(response.Body, maxBody+1))
+	if err != nil {
+		return core.Reply{}, false, fmt.Errorf("the answer broke off: %w", err)
+	}
+	if int64(len(reply.Body)) > maxBody {
+		return core.Reply{}, false, fmt.Errorf("the answer is larger than %d bytes", maxBody)
+	}
+	cn.used = time.Now()
+	cn.answers++
+	reply.Leaving = response.Close
+	if idle, ok := keepAlive(response.Header); ok {
+		cn.maxIdle = min(cn.maxIdle, max(idle-keepAliveMargin, 0))
+	}
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return reply, !response.Close && framed && cn.reader.Buffered() == 0, nil
+}
+
+// keepAlive returns the idle time that an upstream names.
+func keepAlive(h http.Header) (time.Duration, bool) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+			return time.Duration(seconds) * time.Second, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/plugins/frontend/gateway/gateway.go
@@ -0,0 +1,159 @@
+// Package gateway is the front end that passes the requests of callers on by routes. It also tells the platform's balancer
+// whether the VM takes new connections.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/zeebo/errs"
+	"go.uber.org/fx"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind: kinds.FrontEnd, Name: "gateway",
+		Settings: func() any {
+			return &Settings{BalancerLagMS: defaultBalancerLagMS, StopMarginMS: defaultStopMarginMS}
+		},
+		Options: func(s any) fx.Option {
+			return fx.Invoke(func(lc fx.Lifecycle, p params) { newGateway(lc, p, s.(*Settings)) })
+		},
+	})
+}
+
+const (
+	// defaultBalancerLagMS covers two checks of the balancer, one second apart, and the way of their answers.
+	defaultBalancerLagMS = 2300
+	defaultStopMarginMS  = 400
+)
+
+// Settings of the plug-in.
+type Settings struct {
+	// Listen is the address for callers. Required.
+	Listen string `json:"listen" validate:"required,hostname_port"`
+	// ListenReady is the address at which the balancer asks. Required.
+	ListenReady string `json:"listen_ready" validate:"required,hostname_port"`
+	// ReadyPath is the path at which the balancer asks. Required.
+	ReadyPath string `json:"ready_path" validate:"required,startswith=/"`
+	// BalancerLagMS is how long the balancer may still send connections after the VM is not ready, in milliseconds. Default
+	// 2300.
+	BalancerLagMS int64 `json:"balancer_lag_ms" validate:"gte=0,lte=600000"`
+	// StopMarginMS is the part of the stop timeout that is left for the other plug-ins when requests in flight are given
+	// up, in milliseconds. Default 400.
+	StopMarginMS int64 `json:"stop_margin_ms" validate:"gte=0,lte=60000"`
+}
+
+type params struct {
+	fx.In
+	State  *kernel.State
+	Clock  kernel.Clock
+	Log    *slog.Logger
+	Wire   kinds.Wire
+	Router kinds.Router
+}
+
+type gateway struct {
+	params
+	settings *Settings
+	callers  *server
+	ready    *http.Server
+	stopping atomic.Bool
+	// closing asks callers to close their connections after the answer.
+	closing atomic.Bool
+	stop    context.CancelFunc
+}
+
+func newGateway(lc fx.Lifecycle, p params, settings *Settings) *gateway {
+	gin.SetMode(gin.ReleaseMode)
+	g := &gateway{params: p, settings: settings}
+	callers := gin.New()
+	callers.NoRoute(g.handle)
+	g.callers = newServer(callers, p.Log)
+	ready := gin.New()
+	ready.GET(settings.ReadyPath, g.tellReady)
+	g.ready = &http.Server{Handler: ready, ReadHeaderTimeout: defaultLimits.HeaderTimeout}
+	lc.Append(fx.Hook{OnStart: g.start, OnStop: g.shutdown})
+	return g
+}
+
+func (g *gateway) start(ctx context.Context) error {
+	var config net.ListenConfig
+	ready, err := config.Listen(ctx, "tcp", g.settings.ListenReady)
+	if err != nil {
+		return err
+	}
+	if err := g.callers.listen(ctx, g.settings.Listen); err != nil {
+		return errs.Combine(err, ready.Close())
+	}
+	go func() {
+		if err := g.ready.Serve(ready); err != http.ErrServerClosed {
+			g.Log.Error("listener_failed", "address", g.settings.ListenReady, "error", err.Error())
+		}
+	}()
+	follow, cancel := context.WithCancel(context.Background())
+	g.stop = cancel
+	go g.followLimits(follow)
+	return nil
+}
+
+// followLimits gives new connections the limits of the table in force.
+func (g *gateway) followLimits(ctx context.Context) {
+	for {
+		changed := g.State.Changed()
+		if table := g.State.Load().Routes; table != nil {
+			g.callers.limit(table.Limits)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// shutdown reports not ready, serves until the balancer has noticed, and then waits for the requests in flight.
+func (g *gateway) shutdown(ctx context.Context) error {
+	g.stopping.Store(true)
+	g.Log.Info("not_ready", "reason", "stopping")
+	wait(ctx, time.Duration(g.settings.BalancerLagMS)*time.Millisecond)
+	g.closing.Store(true)
+	g.stop()
+	limited := ctx
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		limited, cancel = context.WithDeadline(ctx, deadline.Add(-time.Duration(g.settings.StopMarginMS)*time.Millisecond))
+		defer cancel()
+	}
+	err := g.callers.shutdown(limited)
+	return errs.Combine(err, g.ready.Close())
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (g *gateway) tellReady(c *gin.Context) {
+	if g.stopping.Load() || !g.State.Load().Ready {
+		c.Status(http.StatusServiceUnavailable)
+		return
+	}
+	c.Status(http.StatusOK)
+}
+
+// defaultLimits hold until a table of routes is in force.
+var defaultLimits = core.CallerLimits{HeaderBytes: 16 << 10, BodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
--- /dev/null
+++ b/plugins/frontend/gateway/handle.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+// handle runs one request of a caller.
+func (g *gateway) handle(c *gin.Context) {
+	request, err := g.read(c)
+	if err != nil {
+		g.Log.Info("request_rejected", "code", err.Code.String(), "detail", err.Detail, "target", c.Request.RequestURI)
+		write(c, g.closing.Load(), kinds.RoutedAnswer{Status: statusOf(err.Code), Error: err})
+		return
+	}
+	answer := g.Router.Route(c.Request.Context(), request)
+	write(c, g.closing.Load(), answer)
+}
+
+func statusOf(code core.Code) int {
+	if code == core.CodeBodyTooLarge {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+// read reads the whole request.
+func (g *gateway) read(c *gin.Context) (*core.ForwardRequest, *core.Error) {
+	r := c.Request
+	request := &core.ForwardRequest{Method: r.Method, Host: r.Host, Target: target(r), Path: r.URL.Path, Arrived: g.Clock.Now()}
+	if err := g.Wire.DecodeRequest(r.Header, request); err != nil {
+		var coded *core.Error
+		if errors.As(err, &coded) {
+			return nil, coded
+		}
+		return nil, core.Errorf(core.CodeBadRequest, "%v", err)
+	}
+	if r.ContentLength == 0 {
+		request.HasBody = r.Header.Get("Content-Length") != ""
+		return request, nil
+	}
+	limit := defaultLimits.BodyBytes
+	if table := g.State.Load().Routes; table != nil {
+		limit = table.Limits.BodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, core.Errorf(core.CodeBadRequest, "the body broke off: %v", err)
+	case int64(len(body)) > limit:
+		return nil, core.Errorf(core.CodeBodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	request.Body, request.HasBody = body, true
+	return request, nil
+}
+
+// target returns the path and the query as the caller wrote them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// write sends the answer.
+func write(c *gin.Context, closing bool, answer kinds.RoutedAnswer) {
+	h := c.Writer.Header()
+	for _, f := range answer.Header {
+		h[f.Name] = append(h[f.Name], f.Value)
+	}
+	if answer.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	body := answer.Body
+	if answer.Error != nil {
+		body = errorBody(answer)
+		h.Set("Content-Type", "application/json")
+	} else if _, ok := h["Content-Type"]; !ok {
+		// net/http would guess a type.
+		h["Content-Type"] = nil
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if closing {
+		h.Set("Connection", "close")
+	}
+	c.Writer.WriteHeader(answer.Status)
+	c.Writer.WriteHeaderNow()
+	// A caller that has gone does not need the rest of its answer.
+	_, _ = c.Writer.Write(body)
+}
+
+// errorBody describes an answer of the tier's own.
+func errorBody(answer kinds.RoutedAnswer) []byte {
+	body, err := json.Marshal(struct {
+		Code         int     `json:"code"`
+		Name         string  `json:"name"`
+		Detail       string  `json:"detail"`
+		RetryAfterMS float64 `json:"retry_after_ms,omitempty"`
+	}{int(answer.Error.Code), answer.Error.Code.String(), answer.Error.Detail, float64(answer.RetryAfter) / float64(time.Millisecond)})
+	if err != nil {
+		return []byte(`{"code":9000,"name":"internal"}`)
+	}
+	return body
+}
--- /dev/null
+++ b/plugins/router/fanout/policies.go
@@ -0,0 +1,119 @@
+package fanout
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"gooseberrylane.example/coord/budget"
+	"gooseberrylane.example/coord/hedge"
+	"gooseberrylane.example/coord/query"
+	"gooseberrylane.example/core"
+)
+
+// assumedVMs is how many VMs share the constant part of a budget while their number is not known. It is above the number
+// of VMs of any deployment so far, so the shares never exceed the whole.
+const assumedVMs = 160
+
+// policies implement fanout.Policies for all requests of a VM.
+type policies struct {
+	params
+	settings Settings
+	// generators hands out random sources, because one source serves one goroutine at a time.
+	generators sync.Pool
+	// latencies maps core.RouteName to *hedge.Quantile, budgets maps core.ServiceName to *budget.Window.
+	latencies, budgets sync.Map
+}
+
+func newPolicies(p params, settings Settings) *policies {
+	return &policies{params: p, settings: settings, generators: sync.Pool{New: func() any { return p.Random.Generator() }}}
+}
+
+// random returns a source for the use of the calling goroutine.
+func (p *policies) random() *rand.Rand {
+	generator := p.generators.Get().(*rand.Rand)
+	defer p.generators.Put(generator)
+	return rand.New(rand.NewPCG(generator.Uint64(), generator.Uint64()))
+}
+
+// Choose implements fanout.Policies.
+func (p *policies) Choose(now time.Time, group *core.Group, tried []core.UpstreamID) *core.Upstream {
+	view := p.State.Load()
+	candidates := make([]query.Candidate, 0, 8)
+	for i := range group.Upstreams {
+		upstream := &group.Upstreams[i]
+		state := view.State(upstream.ID)
+		if state == nil || state.DrainSince.Load() != 0 || slices.Contains(tried, upstream.ID) {
+			continue
+		}
+		candidates = append(candidates, query.Candidate{Upstream: upstream, State: state, Local: upstream.Domain == p.Identity.Domain})
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	generator := p.generators.Get().(*rand.Rand)
+	defer p.generators.Put(generator)
+	chosen := p.Selector.Select(now, generator, candidates)
+	if chosen < 0 {
+		return nil
+	}
+	return candidates[chosen].Upstream
+}
+
+func (p *policies) latency(route core.RouteName) *hedge.Quantile {
+	if q, ok := p.latencies.Load(route); ok {
+		return q.(*hedge.Quantile)
+	}
+	q, _ := p.latencies.LoadOrStore(route, new(hedge.Quantile))
+	return q.(*hedge.Quantile)
+}
+
+// HedgeDelay implements fanout.Policies.
+func (p *policies) HedgeDelay(route *core.Route) time.Duration {
+	most := time.Duration(p.settings.HedgeMaxShare * float64(route.Objective))
+	learned, ok := p.latency(route.Name).Value()
+	if !ok {
+		return most
+	}
+	return min(max(learned, time.Duration(p.settings.HedgeMinMS*float64(time.Millisecond))), most)
+}
+
+func (p *policies) budget(now time.Time, service core.ServiceName) *budget.Window {
+	if b, ok := p.budgets.Load(service); ok {
+		return b.(*budget.Window)
+	}
+	s := &p.settings
+	b, _ := p.budgets.LoadOrStore(service, budget.NewWindow(now, time.Duration(s.ExtraWindowMS)*time.Millisecond,
+		s.ExtraMargin*s.ExtraRatio, s.ExtraMargin*s.ExtraSlack/assumedVMs))
+	return b.(*budget.Window)
+}
+
+// AllowExtra implements fanout.Policies.
+func (p *policies) AllowExtra(now time.Time, service core.ServiceName) bool {
+	return p.budget(now, service).Spend(now)
+}
+
+// observe learns from the end of an attempt.
+func (p *policies) observe(now time.Time, route *core.Route, leg *core.Group, upstream core.UpstreamID, reply *core.Reply, took time.Duration) {
+	view := p.State.Load()
+	state := view.State(upstream)
+	if state == nil {
+		return
+	}
+	switch reply.Code {
+	case core.CodeOK:
+		state.ObserveLatency(took)
+		p.latency(route.Name).Observe(p.settings.HedgeQuantile, took)
+	case core.CodeShed:
+		state.LastShed.Store(now.UnixNano())
+		state.Shed.Add(1)
+	case core.CodeCancelled:
+	default:
+		state.Failed.Add(1)
+	}
+	p.Selector.ObserveResult(now, view, leg, upstream, reply.Code)
+	if reply.Code == core.CodeUpstreamMoved {
+		p.Catalog.Doubt(upstream)
+	}
+}
--- /dev/null
+++ b/plugins/router/fanout/router.go
@@ -0,0 +1,156 @@
+// Package fanout is the plug-in that runs requests on routes: it drives the machine of coord/fanout with the upstream
+// client and turns the outcome into the answer for the caller.
+package fanout
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	"gooseberrylane.example/coord/fanout"
+	"gooseberrylane.example/coord/query"
+	"gooseberrylane.example/coord/routing"
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind: kinds.RouterKind, Name: "fanout",
+		Settings: func() any { s := defaults(); return &s },
+		Options: func(s any) fx.Option {
+			return fx.Provide(func(p params) provided {
+				r := newRouter(p, *s.(*Settings))
+				return provided{Router: r, Metrics: r.metrics()}
+			})
+		},
+	})
+}
+
+// Settings of the plug-in.
+type Settings struct {
+	// PartialShare is the share of a route's latency objective after which a gathered answer that covers enough is given
+	// although parts are missing. The rest is for the ways between the caller and the VM. Default 0.7.
+	PartialShare float64 `json:"partial_share" validate:"gt=0,lte=1"`
+	// SettleShare is the share of the time of a request after which a late gathered answer that covers enough is given.
+	// Default 0.5.
+	SettleShare float64 `json:"settle_share" validate:"gt=0,lte=1"`
+	// HedgeQuantile is the quantile of the latency of a route's legs after which a second upstream is asked. Default 0.9.
+	HedgeQuantile float64 `json:"hedge_quantile" validate:"gt=0,lt=1"`
+	// HedgeMinMS is the shortest time before a second upstream is asked, in milliseconds. Default 3.
+	HedgeMinMS float64 `json:"hedge_min_ms" validate:"gte=0,lte=10000"`
+	// HedgeMaxShare bounds the time before a second upstream is asked, as a share of the latency objective, so that its
+	// answer can still be in time. Default 0.3.
+	HedgeMaxShare float64 `json:"hedge_max_share" validate:"gt=0,lte=1"`
+	// LingerMS is how long an upstream that lost against another one may take to end its answer, in milliseconds, so that
+	// its connection can be used again. Default 250.
+	LingerMS int64 `json:"linger_ms" validate:"gte=0,lte=60000"`
+	// ExtraRatio is the share of requests beyond the first that a service may get from all VMs. Default 0.1.
+	ExtraRatio float64 `json:"extra_ratio" validate:"gte=0,lte=10"`
+	// ExtraWindowMS is the length of any span in which ExtraRatio holds, in milliseconds. Default 10000.
+	ExtraWindowMS int64 `json:"extra_window_ms" validate:"gte=100,lte=600000"`
+	// ExtraSlack is the number of requests in a span that all VMs together may send beyond the ratio. Default 0.
+	ExtraSlack float64 `json:"extra_slack" validate:"gte=0"`
+	// ExtraMargin is the part of the allowance that is used. The rest covers VMs that were replaced and count anew.
+	// Default 0.9.
+	ExtraMargin float64 `json:"extra_margin" validate:"gt=0,lte=1"`
+	// RetryAfterMS is the mean time after which a refused caller is asked to come back, in milliseconds. Default 100.
+	RetryAfterMS float64 `json:"retry_after_ms" validate:"gte=1,lte=60000"`
+}
+
+func defaults() Settings {
+	return Settings{
+		PartialShare: 0.7, SettleShare: 0.5, HedgeQuantile: 0.9, HedgeMinMS: 3, HedgeMaxShare: 0.3, LingerMS: 250,
+		ExtraRatio: 0.1, ExtraWindowMS: 10_000, ExtraMargin: 0.9, RetryAfterMS: 100,
+	}
+}
+
+type params struct {
+	fx.In
+	State    *kernel.State
+	Clock    kernel.Clock
+	Random   *kernel.Random
+	Log      *slog.Logger
+	Identity kernel.Identity
+	Wire     kinds.Wire
+	Client   kinds.UpstreamClient
+	Catalog  kinds.Catalog
+	Selector query.Selector
+}
+
+type provided struct {
+	fx.Out
+	Router  kinds.Router
+	Metrics []kinds.Metric `group:"metrics,flatten"`
+}
+
+type router struct {
+	params
+	settings Settings
+	policies *policies
+	counters counters
+}
+
+// counters count the ends of requests and the sends beyond the first.
+type counters struct {
+	complete, partial, failed, refused, expired, left atomic.Uint64
+	hedges, retries                                   atomic.Uint64
+}
+
+func newRouter(p params, settings Settings) *router {
+	return &router{params: p, settings: settings, policies: newPolicies(p, settings)}
+}
+
+// Route implements kinds.Router.
+func (r *router) Route(ctx context.Context, request *core.ForwardRequest) kinds.RoutedAnswer {
+	view := r.State.Load()
+	if !view.Ready {
+		return r.refuse(request, core.Errorf(core.CodeNotReady, "no table of routes is in force on this VM"), 0)
+	}
+	route := view.Routes.Match(request.Host, request.Path)
+	if route == nil {
+		return r.refuse(request, core.Errorf(core.CodeUnknownRoute, "host %q, path %q, table %d", request.Host, request.Path, view.Routes.Version), 0)
+	}
+	plan, err := r.plan(view, route, request)
+	if err != nil {
+		return r.refuse(request, err, r.returnAfter())
+	}
+	return newRun(r, view, plan, request).drive(ctx)
+}
+
+// plan lists the services that the request goes to.
+func (r *router) plan(view *core.View, route *core.Route, request *core.ForwardRequest) (fanout.Plan, *core.Error) {
+	var limit time.Time
+	if request.Patience > 0 {
+		limit = request.Arrived.Add(request.Patience)
+	}
+	plan := fanout.Plan{Route: route, Times: fanout.Schedule(route, request.Arrived, limit, fanout.Shares{Partial: r.settings.PartialShare, Settle: r.settings.SettleShare})}
+	if route.Gather != nil {
+		for _, shard := range route.Gather.Shards {
+			plan.Legs = append(plan.Legs, fanout.Leg{Service: shard, Group: view.Registered.Group(shard)})
+		}
+		return plan, nil
+	}
+	service, ok := routing.Pick(r.policies.random(), route.Targets)
+	if !ok {
+		return plan, core.Errorf(core.CodeNoReplica, "route %q has no service", route.Name)
+	}
+	plan.Legs = []fanout.Leg{{Service: service, Group: view.Registered.Group(service)}}
+	return plan, nil
+}
+
+func (r *router) metrics() []kinds.Metric {
+	metric := func(name string, value *atomic.Uint64) kinds.Metric {
+		return kinds.Metric{Name: name, Value: func() any { return value.Load() }}
+	}
+	c := &r.counters
+	return []kinds.Metric{
+		metric("requests_complete", &c.complete), metric("requests_partial", &c.partial), metric("requests_failed", &c.failed),
+		metric("requests_refused", &c.refused), metric("requests_expired", &c.expired), metric("requests_left", &c.left),
+		metric("hedges", &c.hedges), metric("retries", &c.retries),
+	}
+}
--- /dev/null
+++ b/plugins/router/fanout/run.go
@@ -0,0 +1,131 @@
+package fanout
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"gooseberrylane.example/coord/fanout"
+	"gooseberrylane.example/core"
+	"gooseberrylane.example/kernel/kinds"
+)
+
+// run is one request on its way through the machine.
+type run struct {
+	*router
+	view    *core.View
+	plan    fanout.Plan
+	request *core.ForwardRequest
+	machine *fanout.Machine
+	ended   chan end
+	// parts holds the successful reply of each leg, failure the last reply that was none.
+	parts   []*core.Reply
+	failure *core.Reply
+}
+
+// end is the end of one attempt.
+type end struct {
+	leg   int
+	reply core.Reply
+}
+
+func newRun(r *router, view *core.View, plan fanout.Plan, request *core.ForwardRequest) *run {
+	return &run{
+		router: r, view: view, plan: plan, request: request, machine: fanout.New(plan, r.policies),
+		// No attempt ever waits for the run, which may have ended.
+		ended: make(chan end, mostAttempts(plan)),
+		parts: make([]*core.Reply, len(plan.Legs)),
+	}
+}
+
+// mostAttempts bounds the attempts of a plan: a leg never goes to the same upstream twice.
+func mostAttempts(plan fanout.Plan) int {
+	n := 0
+	for i := range plan.Legs {
+		if group := plan.Legs[i].Group; group != nil {
+			n += len(group.Upstreams)
+		}
+	}
+	return n
+}
+
+// drive runs the request to its answer. Attempts that are still open then may end their answers for a short time, unless
+// the caller has gone.
+func (r *run) drive(ctx context.Context) kinds.RoutedAnswer {
+	// Attempts outlive the handler of the request, whose context ends with it.
+	linger := time.Duration(r.settings.LingerMS) * time.Millisecond
+	work, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.plan.Times.GiveUp.Add(linger))
+	now := r.Clock.Now()
+	for i := range r.plan.Legs {
+		r.policies.budget(now, r.plan.Legs[i].Service).Count(now)
+	}
+	r.send(work, r.machine.Start(now))
+	timer := time.NewTimer(r.machine.Next().Sub(now))
+	defer timer.Stop()
+	for r.machine.Verdict() == fanout.Pending {
+		select {
+		case e := <-r.ended:
+			r.send(work, r.finished(e))
+		case <-timer.C:
+			r.send(work, r.machine.Wake(r.Clock.Now()))
+		case <-ctx.Done():
+			cancel()
+			r.counters.left.Add(1)
+			r.logEnd("left", http.StatusBadGateway, 0)
+			return kinds.RoutedAnswer{Status: http.StatusBadGateway, Error: core.Errorf(core.CodeCancelled, "the caller has gone")}
+		}
+		timer.Reset(r.machine.Next().Sub(r.Clock.Now()))
+	}
+	time.AfterFunc(linger, cancel)
+	return r.answer()
+}
+
+func (r *run) finished(e end) []fanout.Send {
+	switch {
+	case e.reply.Code != core.CodeOK:
+		// An answer of an upstream tells the caller more than a lost connection.
+		if r.failure == nil || e.reply.HasAnswer() || !r.failure.HasAnswer() {
+			r.failure = &e.reply
+		}
+		r.Log.Info("attempt_failed", "request", string(r.request.ID), "service", string(r.plan.Legs[e.leg].Service),
+			"code", e.reply.Code.String(), "status", e.reply.Status, "outcome", e.reply.Outcome.String(), "error", e.reply.Detail)
+	case r.parts[e.leg] == nil:
+		r.parts[e.leg] = &e.reply
+	}
+	return r.machine.Finished(r.Clock.Now(), e.leg, &e.reply)
+}
+
+// send starts attempts.
+func (r *run) send(ctx context.Context, sends []fanout.Send) {
+	for _, s := range sends {
+		switch s.Reason {
+		case fanout.Hedge:
+			r.counters.hedges.Add(1)
+		case fanout.Retry:
+			r.counters.retries.Add(1)
+		}
+		if s.Reason != fanout.First || r.plan.Route.Gather == nil {
+			r.Log.Info("attempt_sent", "request", string(r.request.ID), "service", string(r.plan.Legs[s.Leg].Service), "upstream", string(s.Upstream.ID),
+				"reason", s.Reason.String(), "after_ms", millisecondsSince(r.request.Arrived))
+		}
+		state := r.view.State(s.Upstream.ID)
+		if state == nil {
+			state = &core.UpstreamState{}
+		}
+		state.InFlight.Add(1)
+		state.Sent.Add(1)
+		go r.attempt(ctx, s, state)
+	}
+}
+
+func millisecondsSince(t time.Time) float64 { return float64(time.Since(t).Microseconds()) / 1000 }
+
+// attempt sends a leg to one upstream and reports the end.
+func (r *run) attempt(ctx context.Context, s fanout.Send, state *core.UpstreamState) {
+	started := r.Clock.Now()
+	reply := r.Client.Send(ctx, kinds.Attempt{Request: r.request, To: s.Upstream, Deadline: r.plan.Times.GiveUp, Once: !r.plan.Route.Idempotent})
+	now := r.Clock.Now()
+	state.InFlight.Add(-1)
+	r.policies.observe(now, r.plan.Route, r.plan.Legs[s.Leg].Group, s.Upstream.ID, &reply, now.Sub(started))
+	r.ended <- end{s.Leg, reply}
+}
