Find silent upstreams at once, and read the store at a tenth of the price

An attempt that lost against a hedge was cancelled after 250 ms and counted as nothing, so a dark upstream was chosen again and again until the budget for hedges was used up. Change: an attempt that outlasts its request counts as a failure with at least that latency; an upstream that needed a hedge is avoided for 100 ms; a cold one is avoided while it says so. Watches accept stale answers and pause 300 ms after a change.

--- a/coord/selection/selection.go
+++ b/coord/selection/selection.go
@@ -19,7 +19,8 @@
 	RemoteMS float64 `json:"remote_ms" validate:"gte=0,lte=1000"`
 	// SlowStartMS is the time over which a cold upstream comes to its full share, in milliseconds. Default 10000.
 	SlowStartMS int64 `json:"slow_start_ms" validate:"gte=0,lte=600000"`
-	// ShedMemoryMS is how long a refusal because of load counts against a replica, in milliseconds. Default 100.
+	// ShedMemoryMS is how long a refusal because of load, or a late answer, counts against a replica, in milliseconds.
+	// Default 100.
 	ShedMemoryMS int64 `json:"shed_memory_ms" validate:"gte=0,lte=60000"`
 	// RefreshMS is the time after which a replica that got no work is tried once, so that what is known of it does not
 	// stay out of date, in milliseconds. Default 1000.
@@ -38,8 +39,10 @@
 const (
 	// startShare is the share of a cold upstream's work at the begin of its slow start.
 	startShare = 0.1
-	// shedPenalty multiplies the expected latency of a replica that refused work because of load a moment ago.
+	// shedPenalty multiplies the expected latency of a replica that refused work because of load, or was late, a moment ago.
 	shedPenalty = 4
+	// coldPenalty multiplies the expected latency of a replica that says that it is still warming up.
+	coldPenalty = 2
 	// assumedLatency is used for replicas of which no latency is known.
 	assumedLatency = float64(time.Millisecond)
 )
@@ -161,6 +164,11 @@
 	return a
 }
 
+// isRecent reports whether a sign of load, at a Unix time in nanoseconds, still counts.
+func (p *Policy) isRecent(now time.Time, sign int64) bool {
+	return sign != 0 && now.Sub(time.Unix(0, sign)) < time.Duration(p.settings.ShedMemoryMS)*time.Millisecond
+}
+
 // score is the expected time to a result.
 func (p *Policy) score(now time.Time, c *query.Candidate) float64 {
 	latency := float64(c.State.Latency())
@@ -168,9 +176,12 @@
 		latency = assumedLatency
 	}
 	score := latency * (1 + float64(max(c.State.InFlight.Load(), 0))/float64(max(c.Upstream.Slots, 1)))
-	if shed := c.State.LastShed.Load(); shed != 0 && now.Sub(time.Unix(0, shed)) < time.Duration(p.settings.ShedMemoryMS)*time.Millisecond {
+	if p.isRecent(now, c.State.LastShed.Load()) || p.isRecent(now, c.State.LastLate.Load()) {
 		score *= shedPenalty
 	}
+	if now.UnixNano() < c.State.ColdUntil.Load() {
+		score *= coldPenalty
+	}
 	if !c.Local {
 		score += p.settings.RemoteMS * float64(time.Millisecond)
 	}
--- a/core/view.go
+++ b/core/view.go
@@ -125,10 +125,11 @@
 	FailuresInRow, Ejections atomic.Int64
 	// ColdUntil is the Unix time in nanoseconds until which the upstream is slow after its start.
 	ColdUntil atomic.Int64
-	// LastChosen and LastShed are Unix times in nanoseconds of the last attempt and the last refusal because of load.
-	LastChosen, LastShed atomic.Int64
-	latency              atomic.Uint64
-	window               atomic.Pointer[Window]
+	// LastChosen, LastShed and LastLate are Unix times in nanoseconds of the last attempt, the last refusal because of load
+	// and the last time that another upstream was asked because this one had not answered.
+	LastChosen, LastShed, LastLate atomic.Int64
+	latency                        atomic.Uint64
+	window                         atomic.Pointer[Window]
 }
 
 // Latency returns the moving average of the latency, 0 when nothing was observed.
--- a/kernel/kinds/gateway.go
+++ b/kernel/kinds/gateway.go
@@ -41,6 +41,15 @@
 // Cursor is a position in the history of the store.
 type Cursor uint64
 
+// WatchOptions bound a watch.
+type WatchOptions struct {
+	// After is the position from which changes are wanted, Wait how long to wait for the first.
+	After Cursor
+	Wait  time.Duration
+	// AllowStale accepts an answer that may be seconds old, which costs the platform less.
+	AllowStale bool
+}
+
 // CatalogStore reads what operators and upstreams wrote to the platform's store. Errors are *core.Error:
 // CodePlatformUnavailable when the store did not answer, CodeNotFound when no table exists, CodeHistoryGone when a watch
 // must begin anew with a list.
@@ -48,11 +57,11 @@
 	// Routes returns the newest table of routes.
 	Routes(ctx context.Context) (*core.RouteTable, Cursor, error)
 	// WatchRoutes waits for a later table. A nil table without an error means that the wait ended without a change.
-	WatchRoutes(ctx context.Context, after Cursor, wait time.Duration) (*core.RouteTable, Cursor, error)
+	WatchRoutes(ctx context.Context, o WatchOptions) (*core.RouteTable, Cursor, error)
 	// Upstreams returns the entries of all upstreams, those that cannot be read included.
 	Upstreams(ctx context.Context) ([]catalog.Entry, Cursor, error)
 	// WatchUpstreams waits for changed entries.
-	WatchUpstreams(ctx context.Context, after Cursor, wait time.Duration) ([]catalog.Entry, Cursor, error)
+	WatchUpstreams(ctx context.Context, o WatchOptions) ([]catalog.Entry, Cursor, error)
 }
 
 // Catalog keeps routes and registered upstreams in the view up to date.
--- a/plugins/catalog/store/store.go
+++ b/plugins/catalog/store/store.go
@@ -22,7 +22,10 @@
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.CatalogKind, Name: "store",
 		Settings: func() any {
-			return &Settings{WatchMS: defaultWatchMS, RetryMS: defaultRetryMS, MaxRetryMS: defaultMaxRetryMS, GraceMS: defaultGraceMS}
+			return &Settings{
+				WatchMS: defaultWatchMS, GatherMS: defaultGatherMS, AllowStale: true,
+				RetryMS: defaultRetryMS, MaxRetryMS: defaultMaxRetryMS, GraceMS: defaultGraceMS,
+			}
 		},
 		Options: func(s any) fx.Option {
 			return fx.Provide(func(lc fx.Lifecycle, p params) provided {
@@ -34,7 +37,9 @@
 }
 
 const (
-	defaultWatchMS    = 6000
+	defaultWatchMS = 6000
+	// defaultGatherMS is a tenth of the shortest time within which a change must be in force, 3 s.
+	defaultGatherMS   = 300
 	defaultRetryMS    = 150
 	defaultMaxRetryMS = 1000
 	// defaultGraceMS covers the two seconds within which live upstreams register again after an outage of the store.
@@ -45,6 +50,12 @@
 type Settings struct {
 	// WatchMS is the length of one waiting watch, in milliseconds. Default 6000.
 	WatchMS int64 `json:"watch_ms" validate:"gte=100,lte=30000"`
+	// GatherMS is the pause after a watch that told of a change, in milliseconds, so that changes in quick succession cost
+	// one call. Default 300.
+	GatherMS int64 `json:"gather_ms" validate:"gte=0,lte=60000"`
+	// AllowStale lets watches be answered with data that may be seconds old, at a tenth of the price. Lists are always
+	// current. Default true.
+	AllowStale bool `json:"allow_stale"`
 	// RetryMS is the mean pause after a failed call, in milliseconds; it doubles up to MaxRetryMS. Default 150.
 	RetryMS int64 `json:"retry_ms" validate:"gte=1,lte=60000"`
 	// MaxRetryMS bounds the mean pause, in milliseconds. Default 1000.
@@ -123,7 +134,10 @@
 		f.lists.Add(1)
 		for err == nil {
 			link.answered()
-			cursor, err = watch(ctx, cursor)
+			before := cursor
+			if cursor, err = watch(ctx, cursor); err == nil && cursor != before {
+				pause(ctx, millis(f.settings.GatherMS))
+			}
 		}
 		link.failed(ctx, err)
 	}
@@ -156,7 +170,7 @@
 		return
 	}
 	l.failures.Add(1)
-	pause := millis(l.settings.RetryMS)
+	length := millis(l.settings.RetryMS)
 	if codeOf(err) == core.CodeHistoryGone {
 		l.Log.Info("store_history_gone", "what", l.what)
 	} else {
@@ -165,13 +179,17 @@
 			l.Log.Warn("store_lost", "what", l.what, "error", err.Error())
 		}
 		for range min(l.failedInRow, 10) {
-			pause = min(2*pause, millis(l.settings.MaxRetryMS))
+			length = min(2*length, millis(l.settings.MaxRetryMS))
 		}
 		l.failedInRow++
 		l.away.Store(true)
 	}
 	// The pause is spread by half of itself in both directions, so that VMs do not come back together.
-	timer := time.NewTimer(time.Duration((0.5 + l.random.Float64()) * float64(pause)))
+	pause(ctx, time.Duration((0.5+l.random.Float64())*float64(length)))
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -199,8 +217,12 @@
 	return cursor, err
 }
 
+func (f *follower) watchOptions(after kinds.Cursor) kinds.WatchOptions {
+	return kinds.WatchOptions{After: after, Wait: millis(f.settings.WatchMS), AllowStale: f.settings.AllowStale}
+}
+
 func (f *follower) watchRoutes(ctx context.Context, after kinds.Cursor) (kinds.Cursor, error) {
-	table, cursor, err := f.Store.WatchRoutes(ctx, after, millis(f.settings.WatchMS))
+	table, cursor, err := f.Store.WatchRoutes(ctx, f.watchOptions(after))
 	if err == nil && table != nil {
 		f.apply(table, "watch")
 	}
@@ -239,7 +261,7 @@
 }
 
 func (f *follower) watchUpstreams(ctx context.Context, after kinds.Cursor) (kinds.Cursor, error) {
-	entries, cursor, err := f.Store.WatchUpstreams(ctx, after, millis(f.settings.WatchMS))
+	entries, cursor, err := f.Store.WatchUpstreams(ctx, f.watchOptions(after))
 	if err != nil {
 		return cursor, err
 	}
--- a/plugins/router/fanout/policies.go
+++ b/plugins/router/fanout/policies.go
@@ -108,6 +108,10 @@
 	case core.CodeShed:
 		state.LastShed.Store(now.UnixNano())
 		state.Shed.Add(1)
+	case core.CodeDeadlineExceeded:
+		// The upstream needs at least this long.
+		state.ObserveLatency(took)
+		state.Failed.Add(1)
 	case core.CodeCancelled:
 	default:
 		state.Failed.Add(1)
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"gooseberrylane.example/coord/fanout"
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel/kinds"
@@ -21,6 +23,8 @@
 	// parts holds the successful reply of each leg, failure the last reply that was none.
 	parts   []*core.Reply
 	failure *core.Reply
+	// asked holds the states of the upstreams that got each leg.
+	asked [][]*core.UpstreamState
 }
 
 // end is the end of one attempt.
@@ -34,7 +38,7 @@
 		router: r, view: view, plan: plan, request: request, machine: fanout.New(plan, r.policies),
 		// No attempt ever waits for the run, which may have ended.
 		ended: make(chan end, mostAttempts(plan)),
-		parts: make([]*core.Reply, len(plan.Legs)),
+		parts: make([]*core.Reply, len(plan.Legs)), asked: make([][]*core.UpstreamState, len(plan.Legs)),
 	}
 }
 
@@ -49,12 +53,15 @@
 	return n
 }
 
+// errOutlasted ends attempts that are still open some time after the request has its answer.
+var errOutlasted = errs.New("the request ended before the attempt")
+
 // drive runs the request to its answer. Attempts that are still open then may end their answers for a short time, unless
 // the caller has gone.
 func (r *run) drive(ctx context.Context) kinds.RoutedAnswer {
 	// Attempts outlive the handler of the request, whose context ends with it.
 	linger := time.Duration(r.settings.LingerMS) * time.Millisecond
-	work, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.plan.Times.GiveUp.Add(linger))
+	work, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	now := r.Clock.Now()
 	for i := range r.plan.Legs {
 		r.policies.budget(now, r.plan.Legs[i].Service).Count(now)
@@ -69,14 +76,14 @@
 		case <-timer.C:
 			r.send(work, r.machine.Wake(r.Clock.Now()))
 		case <-ctx.Done():
-			cancel()
+			cancel(context.Canceled)
 			r.counters.left.Add(1)
 			r.logEnd("left", http.StatusBadGateway, 0)
 			return kinds.RoutedAnswer{Status: http.StatusBadGateway, Error: core.Errorf(core.CodeCancelled, "the caller has gone")}
 		}
 		timer.Reset(r.machine.Next().Sub(r.Clock.Now()))
 	}
-	time.AfterFunc(linger, cancel)
+	time.AfterFunc(linger, func() { cancel(errOutlasted) })
 	return r.answer()
 }
 
@@ -100,6 +107,7 @@
 	for _, s := range sends {
 		switch s.Reason {
 		case fanout.Hedge:
+			r.noteLate(s.Leg)
 			r.counters.hedges.Add(1)
 		case fanout.Retry:
 			r.counters.retries.Add(1)
@@ -114,16 +122,27 @@
 		}
 		state.InFlight.Add(1)
 		state.Sent.Add(1)
+		r.asked[s.Leg] = append(r.asked[s.Leg], state)
 		go r.attempt(ctx, s, state)
 	}
 }
 
+// noteLate tells the selection that the upstreams of a leg have not answered in time.
+func (r *run) noteLate(leg int) {
+	for _, state := range r.asked[leg] {
+		state.LastLate.Store(r.Clock.Now().UnixNano())
+	}
+}
+
 func millisecondsSince(t time.Time) float64 { return float64(time.Since(t).Microseconds()) / 1000 }
 
 // attempt sends a leg to one upstream and reports the end.
 func (r *run) attempt(ctx context.Context, s fanout.Send, state *core.UpstreamState) {
 	started := r.Clock.Now()
 	reply := r.Client.Send(ctx, kinds.Attempt{Request: r.request, To: s.Upstream, Deadline: r.plan.Times.GiveUp, Once: !r.plan.Route.Idempotent})
+	if reply.Code == core.CodeCancelled && context.Cause(ctx) == errOutlasted {
+		reply.Code = core.CodeDeadlineExceeded
+	}
 	now := r.Clock.Now()
 	state.InFlight.Add(-1)
 	r.policies.observe(now, r.plan.Route, r.plan.Legs[s.Leg].Group, s.Upstream.ID, &reply, now.Sub(started))
