--- a/core/view.go
+++ b/core/view.go
@@ -50,6 +50,8 @@
 	Self VM
 	// All holds every known VM, Self included, ordered by name.
 	All []VM
+	// Capacity holds the processing power of the VMs that told it, in cores.
+	Capacity map[VMName]float64
 }
 
 // Find returns the VM with the given name, or nil.
--- a/kernel/kinds/gateway.go
+++ b/kernel/kinds/gateway.go
@@ -20,6 +20,8 @@
 	CatalogKind kernel.Kind = "catalog"
 	// RouterKind plug-ins run requests on routes and provide Router.
 	RouterKind kernel.Kind = "router"
+	// DelegateKind plug-ins hand gathered requests to other VMs and provide Delegate.
+	DelegateKind kernel.Kind = "delegate"
 	// UpstreamClientKind plug-ins send requests to registered upstreams and provide UpstreamClient.
 	UpstreamClientKind kernel.Kind = "upstream_client"
 )
@@ -64,6 +66,36 @@
 	WatchUpstreams(ctx context.Context, o WatchOptions) ([]catalog.Entry, Cursor, error)
 }
 
+// VMEntry is what a VM writes of itself to the platform's store.
+type VMEntry struct {
+	VM core.VM
+	// Capacity is the processing power of the VM in cores.
+	Capacity float64
+	// Removed is true when the store no longer holds the entry.
+	Removed bool
+}
+
+// VMStore keeps the entries of the VMs on the platform. Errors are those of CatalogStore.
+type VMStore interface {
+	// AnnounceVM writes the entry of a VM, replacing that of its earlier incarnation.
+	AnnounceVM(ctx context.Context, e VMEntry) error
+	// WithdrawVM removes the entry of a VM that leaves.
+	WithdrawVM(ctx context.Context, name core.VMName) error
+	// VMs returns all entries.
+	VMs(ctx context.Context) ([]VMEntry, Cursor, error)
+	// WatchVMs waits for changed entries.
+	WatchVMs(ctx context.Context, o WatchOptions) ([]VMEntry, Cursor, error)
+}
+
+// Delegate hands gathered requests to VMs that are placed better.
+type Delegate interface {
+	// Delegate returns the answer of another VM; ok is false when this VM has to run the request itself. The other VM runs
+	// it only on the same table of routes.
+	Delegate(ctx context.Context, view *core.View, route *core.Route, r *core.ForwardRequest) (answer RoutedAnswer, ok bool)
+	// Serve sets the function that runs the requests of other VMs on this one. It is called before the application starts.
+	Serve(run func(ctx context.Context, view *core.View, r *core.ForwardRequest) RoutedAnswer)
+}
+
 // Catalog keeps routes and registered upstreams in the view up to date.
 type Catalog interface {
 	// Doubt tells that an upstream answered that it is not the one that the registered address belongs to.
--- a/plugins/router/fanout/router.go
+++ b/plugins/router/fanout/router.go
@@ -79,6 +79,7 @@
 	Wire     kinds.Wire
 	Client   kinds.UpstreamClient
 	Catalog  kinds.Catalog
+	Delegate kinds.Delegate
 	Selector query.Selector
 }
 
@@ -102,7 +103,9 @@
 }
 
 func newRouter(p params, settings Settings) *router {
-	return &router{params: p, settings: settings, policies: newPolicies(p, settings)}
+	r := &router{params: p, settings: settings, policies: newPolicies(p, settings)}
+	p.Delegate.Serve(r.runHere)
+	return r
 }
 
 // Route implements kinds.Router.
@@ -115,6 +118,24 @@
 	if route == nil {
 		return r.refuse(request, core.Errorf(core.CodeUnknownRoute, "host %q, path %q, table %d", request.Host, request.Path, view.Routes.Version), 0)
 	}
+	if route.Gather != nil {
+		if answer, ok := r.Delegate.Delegate(ctx, view, route, request); ok {
+			return answer
+		}
+	}
+	return r.runRoute(ctx, view, route, request)
+}
+
+// runHere runs a request of another VM on the view that it was accepted on.
+func (r *router) runHere(ctx context.Context, view *core.View, request *core.ForwardRequest) kinds.RoutedAnswer {
+	route := view.Routes.Match(request.Host, request.Path)
+	if route == nil {
+		return r.refuse(request, core.Errorf(core.CodeUnknownRoute, "host %q, path %q, table %d", request.Host, request.Path, view.Routes.Version), 0)
+	}
+	return r.runRoute(ctx, view, route, request)
+}
+
+func (r *router) runRoute(ctx context.Context, view *core.View, route *core.Route, request *core.ForwardRequest) kinds.RoutedAnswer {
 	plan, err := r.plan(view, route, request)
 	if err != nil {
 		return r.refuse(request, err, r.returnAfter())
