Never send a handed-over request to more upstreams than its route allows, and trust stale reads only while they are new

Change: a gatherer sends each leg to one upstream less than the route allows until the VM that asked confirms that it will not run the request itself. The constant part of the budget for extra requests follows the number of VMs that share it.

--- /dev/null
+++ b/coord/catalog/staleness_test.go
@@ -0,0 +1,30 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/coord/catalog"
+)
+
+// TestStaleReadsAreNotTrustedWhileTheStoreLags guards against a VM that keeps an old table of routes because it reads from
+// a store whose stale reads are seconds behind, also when the VM has started meanwhile.
+func TestStaleReadsAreNotTrustedWhileTheStoreLags(t *testing.T) {
+	c := qt.New(t)
+	var s catalog.Staleness
+	c.Assert(s.AllowStale(), qt.IsFalse)
+	c.Assert(s.NeedsCheck(start), qt.IsTrue)
+	s.Checked(start, 100, 100)
+	c.Assert(s.AllowStale(), qt.IsTrue)
+	c.Assert(s.NeedsCheck(start.Add(time.Hour)), qt.IsFalse)
+	s.HistoryGone()
+	c.Assert(s.AllowStale(), qt.IsFalse)
+	s.Checked(start, 200, 150)
+	c.Assert(s.AllowStale(), qt.IsFalse)
+	c.Assert(s.NeedsCheck(start), qt.IsFalse)
+	c.Assert(s.NeedsCheck(start.Add(catalog.RecheckAfter)), qt.IsTrue)
+	s.Checked(start.Add(catalog.RecheckAfter), 300, 301)
+	c.Assert(s.AllowStale(), qt.IsTrue)
+}
--- a/coord/fanout/machine.go
+++ b/coord/fanout/machine.go
@@ -32,9 +32,15 @@
 
 // New returns the machine of a plan.
 func New(plan Plan, policies Policies) *Machine {
+	if plan.Attempts == 0 {
+		plan.Attempts = plan.Route.MaxAttempts
+	}
 	return &Machine{plan: plan, policies: policies, legs: make([]legState, len(plan.Legs)), need: plan.needed()}
 }
 
+// AllowAllAttempts lifts the bound of the plan to that of the route.
+func (m *Machine) AllowAllAttempts() { m.plan.Attempts = m.plan.Route.MaxAttempts }
+
 // Start returns the first sends. A request that cannot be served with the known upstreams is refused at once.
 func (m *Machine) Start(now time.Time) []Send {
 	m.sends = m.sends[:0]
@@ -97,7 +103,7 @@
 // mayAskAgain reports whether the limits allow one more upstream for a leg, and spends from the budget.
 func (m *Machine) mayAskAgain(now time.Time, leg int) bool {
 	state := &m.legs[leg]
-	if state.sent >= m.plan.Route.MaxAttempts || !m.hasUntried(leg) {
+	if state.sent >= m.plan.Attempts || !m.hasUntried(leg) {
 		return false
 	}
 	return m.policies.AllowExtra(now, m.plan.Legs[leg].Service)
--- a/coord/fanout/plan.go
+++ b/coord/fanout/plan.go
@@ -15,6 +15,8 @@
 	Route *core.Route
 	Legs  []Leg
 	Times Times
+	// Attempts bounds the upstreams that get one leg; 0 means as many as the route allows.
+	Attempts int
 }
 
 // Leg is the part of a request that one service answers.
--- a/coord/gatherers/gatherers.go
+++ b/coord/gatherers/gatherers.go
@@ -102,6 +102,42 @@
 	return float64(vms*s.ConnectionsPerVM) <= s.ConnectionShare*float64(limit)
 }
 
+// Shares of an allowance of all VMs that those that gather for others, and all others, may use together. The rest is for
+// VMs that this one does not know yet.
+const (
+	gatherersShare = 0.6
+	othersShare    = 0.3
+)
+
+// Share returns the part of an allowance for requests to a service, such as a budget for extra ones, that this VM may use.
+// limit is the number of connections that each upstream of the service allows.
+func (s *Settings) Share(members *core.Members, limit int) float64 {
+	counted := make(map[core.FailureDomain]bool)
+	gathering, own, concentrated := 0, false, false
+	for i := range members.All {
+		domain := members.All[i].Domain
+		if counted[domain] {
+			continue
+		}
+		counted[domain] = true
+		strong, all := s.strongest(members, domain, func(core.VMName) bool { return true })
+		if !s.fits(all, limit) {
+			concentrated = true
+			strong = strong[:min(len(strong), s.PerDomain)]
+		}
+		gathering += len(strong)
+		own = own || slices.ContainsFunc(strong, func(vm core.VM) bool { return vm.Name == members.Self.Name })
+	}
+	switch {
+	case !concentrated:
+		return (gatherersShare + othersShare) / float64(max(len(members.All), 1))
+	case own:
+		return gatherersShare / float64(gathering)
+	default:
+		return othersShare / float64(len(members.All))
+	}
+}
+
 // nearest returns the own failure domain if it holds nearly as many shards as the best one, else all that do.
 func nearest(own core.FailureDomain, coverage map[core.FailureDomain]float64) []core.FailureDomain {
 	best := 0.0
--- a/coord/gatherers/gatherers_test.go
+++ b/coord/gatherers/gatherers_test.go
@@ -82,3 +82,16 @@
 	got := gatherers.Coverage(&core.GatherRule{Shards: []core.ServiceName{"s1", "s2"}}, registered)
 	c.Assert(got, qt.DeepEquals, map[core.FailureDomain]float64{"a": 1, "b": 0.5})
 }
+
+// TestSharesDoNotExceedTheWhole guards against VMs that together use more than an allowance for all of them.
+func TestSharesDoNotExceedTheWhole(t *testing.T) {
+	c := qt.New(t)
+	settings := gatherers.Defaults()
+	for _, limit := range []int{58, 107, 960} {
+		total := 0.0
+		for _, vm := range fleet("", 48, 2).All {
+			total += settings.Share(fleet(vm.Name, 48, 2), limit)
+		}
+		c.Assert(total > 0.85 && total <= 1, qt.IsTrue, qt.Commentf("limit %d: %f", limit, total))
+	}
+}
--- a/kernel/kinds/gateway.go
+++ b/kernel/kinds/gateway.go
@@ -62,6 +62,8 @@
 	WatchRoutes(ctx context.Context, o WatchOptions) (*core.RouteTable, Cursor, error)
 	// Upstreams returns the entries of all upstreams, those that cannot be read included.
 	Upstreams(ctx context.Context) ([]catalog.Entry, Cursor, error)
+	// Position returns the newest position, from old data if allowStale is true.
+	Position(ctx context.Context, allowStale bool) (Cursor, error)
 	// WatchUpstreams waits for changed entries.
 	WatchUpstreams(ctx context.Context, o WatchOptions) ([]catalog.Entry, Cursor, error)
 }
@@ -87,13 +89,38 @@
 	WatchVMs(ctx context.Context, o WatchOptions) ([]VMEntry, Cursor, error)
 }
 
+// DelegateOutcome is what became of a request that may be handed to another VM.
+type DelegateOutcome int
+
+// Outcomes of a delegation.
+const (
+	// NotDelegated: this VM runs the request.
+	NotDelegated DelegateOutcome = iota
+	// MayBeDelegated: the other VM may send each leg to one upstream less than the route allows; this VM may use one.
+	MayBeDelegated
+	// Delegated: the answer is final.
+	Delegated
+)
+
 // Delegate hands gathered requests to VMs that are placed better.
 type Delegate interface {
-	// Delegate returns the answer of another VM; ok is false when this VM has to run the request itself. The other VM runs
-	// it only on the same table of routes.
-	Delegate(ctx context.Context, view *core.View, route *core.Route, r *core.ForwardRequest) (answer RoutedAnswer, ok bool)
+	// Delegate returns the answer of another VM, or that this VM has to run the request. The other VM runs it only on the
+	// same table of routes.
+	Delegate(ctx context.Context, view *core.View, route *core.Route, r *core.ForwardRequest) (RoutedAnswer, DelegateOutcome)
+	// Share returns the part of an allowance of all VMs for requests to a service that this VM may use, between 0 and 1.
+	Share(view *core.View, service core.ServiceName) float64
 	// Serve sets the function that runs the requests of other VMs on this one. It is called before the application starts.
-	Serve(run func(ctx context.Context, view *core.View, r *core.ForwardRequest) RoutedAnswer)
+	Serve(run func(ctx context.Context, d DelegatedRequest) RoutedAnswer)
+}
+
+// DelegatedRequest is a request that another VM handed over.
+type DelegatedRequest struct {
+	Request *core.ForwardRequest
+	// View is the view on which this VM accepted the request.
+	View *core.View
+	// Confirmed is closed once the other VM will not run the request itself. Until then each leg may go to one upstream
+	// less than the route allows.
+	Confirmed <-chan struct{}
 }
 
 // Catalog keeps routes and registered upstreams in the view up to date.
--- a/plugins/catalog/store/store.go
+++ b/plugins/catalog/store/store.go
@@ -23,7 +23,7 @@
 		Kind: kinds.CatalogKind, Name: "store",
 		Settings: func() any {
 			return &Settings{
-				WatchMS: defaultWatchMS, GatherMS: defaultGatherMS, AllowStale: true,
+				WatchMS: defaultWatchMS, GatherMS: defaultGatherMS, UpstreamGatherMS: defaultUpstreamGatherMS, AllowStale: true,
 				RetryMS: defaultRetryMS, MaxRetryMS: defaultMaxRetryMS, GraceMS: defaultGraceMS,
 			}
 		},
@@ -38,10 +38,12 @@
 
 const (
 	defaultWatchMS = 6000
-	// defaultGatherMS is a tenth of the shortest time within which a change must be in force, 3 s.
-	defaultGatherMS   = 300
-	defaultRetryMS    = 150
-	defaultMaxRetryMS = 1000
+	// defaultGatherMS and defaultUpstreamGatherMS are a tenth and a quarter of the shortest time within which a change must
+	// be in force, 3 s. Upstreams change far more often than routes.
+	defaultGatherMS         = 300
+	defaultUpstreamGatherMS = 800
+	defaultRetryMS          = 150
+	defaultMaxRetryMS       = 2000
 	// defaultGraceMS covers the two seconds within which live upstreams register again after an outage of the store.
 	defaultGraceMS = 2500
 )
@@ -53,12 +55,14 @@
 	// GatherMS is the pause after a watch that told of a change, in milliseconds, so that changes in quick succession cost
 	// one call. Default 300.
 	GatherMS int64 `json:"gather_ms" validate:"gte=0,lte=60000"`
-	// AllowStale lets watches be answered with data that may be seconds old, at a tenth of the price. Lists are always
-	// current. Default true.
+	// UpstreamGatherMS is GatherMS for the entries of upstreams, in milliseconds. Default 800.
+	UpstreamGatherMS int64 `json:"upstream_gather_ms" validate:"gte=0,lte=60000"`
+	// AllowStale lets watches be answered with data that may be seconds old, at a tenth of the price, while a
+	// comparison shows that they are as new as others. Default true.
 	AllowStale bool `json:"allow_stale"`
 	// RetryMS is the mean pause after a failed call, in milliseconds; it doubles up to MaxRetryMS. Default 150.
 	RetryMS int64 `json:"retry_ms" validate:"gte=1,lte=60000"`
-	// MaxRetryMS bounds the mean pause, in milliseconds. Default 1000.
+	// MaxRetryMS bounds the mean pause, in milliseconds. Default 2000.
 	MaxRetryMS int64 `json:"max_retry_ms" validate:"gte=1,lte=60000"`
 	// GraceMS is how long after the return of the store an upstream that vanished is still used, in milliseconds.
 	// Default 2500.
@@ -91,6 +95,10 @@
 	// away is set when a call got no answer, so that the store may have dropped live entries meanwhile.
 	away atomic.Bool
 
+	// checking orders the checks of staleness, which the loops share.
+	checking  sync.Mutex
+	staleness catalog.Staleness
+
 	mu           sync.Mutex
 	directory    *catalog.Directory
 	incarnations map[core.UpstreamID]catalog.Incarnation
@@ -114,8 +122,10 @@
 	f.stop = cancel
 	f.expiry = time.AfterFunc(time.Hour, f.expire)
 	f.expiry.Stop()
-	f.done.Go(func() { f.follow(ctx, "routes", f.listRoutes, f.watchRoutes) })
-	f.done.Go(func() { f.follow(ctx, "upstreams", f.listUpstreams, f.watchUpstreams) })
+	f.done.Go(func() { f.follow(ctx, "routes", millis(f.settings.GatherMS), f.listRoutes, f.watchRoutes) })
+	f.done.Go(func() {
+		f.follow(ctx, "upstreams", millis(f.settings.UpstreamGatherMS), f.listUpstreams, f.watchUpstreams)
+	})
 	return nil
 }
 
@@ -127,7 +137,7 @@
 }
 
 // follow lists once and then watches. After a failed watch it lists again, because the watch may have missed changes.
-func (f *follower) follow(ctx context.Context, what string, list func(context.Context) (kinds.Cursor, error), watch func(context.Context, kinds.Cursor) (kinds.Cursor, error)) {
+func (f *follower) follow(ctx context.Context, what string, gather time.Duration, list func(context.Context) (kinds.Cursor, error), watch func(context.Context, kinds.Cursor) (kinds.Cursor, error)) {
 	link := &link{follower: f, what: what, random: f.Random.Generator()}
 	for ctx.Err() == nil {
 		cursor, err := list(ctx)
@@ -135,8 +145,9 @@
 		for err == nil {
 			link.answered()
 			before := cursor
+			f.checkStaleness(ctx)
 			if cursor, err = watch(ctx, cursor); err == nil && cursor != before {
-				pause(ctx, millis(f.settings.GatherMS))
+				pause(ctx, gather)
 			}
 		}
 		link.failed(ctx, err)
@@ -173,6 +184,9 @@
 	length := millis(l.settings.RetryMS)
 	if codeOf(err) == core.CodeHistoryGone {
 		l.Log.Info("store_history_gone", "what", l.what)
+		l.checking.Lock()
+		l.staleness.HistoryGone()
+		l.checking.Unlock()
 	} else {
 		if l.failedInRow == 0 {
 			l.lostAt = l.Clock.Now()
@@ -218,7 +232,36 @@
 }
 
 func (f *follower) watchOptions(after kinds.Cursor) kinds.WatchOptions {
-	return kinds.WatchOptions{After: after, Wait: millis(f.settings.WatchMS), AllowStale: f.settings.AllowStale}
+	f.checking.Lock()
+	defer f.checking.Unlock()
+	o := kinds.WatchOptions{After: after, Wait: millis(f.settings.WatchMS), AllowStale: f.settings.AllowStale && f.staleness.AllowStale()}
+	if f.settings.AllowStale && !o.AllowStale {
+		// The next check falls due while the store lags.
+		o.Wait = min(o.Wait, catalog.RecheckAfter)
+	}
+	return o
+}
+
+// checkStaleness compares a current and a stale read if that is due. When the check fails, watches ask for current data.
+func (f *follower) checkStaleness(ctx context.Context) {
+	f.checking.Lock()
+	defer f.checking.Unlock()
+	if !f.settings.AllowStale || !f.staleness.NeedsCheck(f.Clock.Now()) {
+		return
+	}
+	current, err := f.Store.Position(ctx, false)
+	if err != nil {
+		f.Log.Info("staleness_unknown", "error", err.Error())
+		return
+	}
+	pause(ctx, catalog.AcceptedLag)
+	stale, err := f.Store.Position(ctx, true)
+	if err != nil {
+		f.Log.Info("staleness_unknown", "error", err.Error())
+		return
+	}
+	f.staleness.Checked(f.Clock.Now(), uint64(current), uint64(stale))
+	f.Log.Info("staleness_checked", "current", uint64(current), "stale", uint64(stale), "allow_stale", f.staleness.AllowStale())
 }
 
 func (f *follower) watchRoutes(ctx context.Context, after kinds.Cursor) (kinds.Cursor, error) {
--- a/plugins/delegate/none/none.go
+++ b/plugins/delegate/none/none.go
@@ -21,9 +21,14 @@
 type delegate struct{}
 
 // Delegate implements kinds.Delegate.
-func (delegate) Delegate(context.Context, *core.View, *core.Route, *core.ForwardRequest) (kinds.RoutedAnswer, bool) {
-	return kinds.RoutedAnswer{}, false
+func (delegate) Delegate(context.Context, *core.View, *core.Route, *core.ForwardRequest) (kinds.RoutedAnswer, kinds.DelegateOutcome) {
+	return kinds.RoutedAnswer{}, kinds.NotDelegated
 }
 
 // Serve implements kinds.Delegate.
-func (delegate) Serve(func(context.Context, *core.View, *core.ForwardRequest) kinds.RoutedAnswer) {}
+func (delegate) Serve(func(context.Context, kinds.DelegatedRequest) kinds.RoutedAnswer) {}
+
+// Share implements kinds.Delegate.
+func (delegate) Share(view *core.View, _ core.ServiceName) float64 {
+	return 1 / float64(max(len(view.Members.All), 1))
+}
--- a/plugins/delegate/peers/messages.go
+++ b/plugins/delegate/peers/messages.go
@@ -38,6 +38,13 @@
 	Started  core.Incarnation
 }
 
+// confirmMessage tells that the VM that asks will not run the request itself.
+type confirmMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Sequence uint64
+	Started  core.Incarnation
+}
+
 // answerMessage returns the answer to a request, or a code of a VM that did not run it.
 type answerMessage struct {
 	_            struct{} `cbor:",toarray"`
@@ -65,6 +72,9 @@
 // MessageName implements kinds.Message.
 func (acceptMessage) MessageName() string { return "gather_accept" }
 
+// MessageName implements kinds.Message.
+func (confirmMessage) MessageName() string { return "gather_confirm" }
+
 // MessageName implements kinds.Message.
 func (answerMessage) MessageName() string { return "gather_answer" }
 
--- a/plugins/delegate/peers/peers.go
+++ b/plugins/delegate/peers/peers.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +22,7 @@
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.DelegateKind, Name: "peers",
 		Settings: func() any {
-			return &Settings{Choice: gatherers.Defaults(), AcceptMS: defaultAcceptMS, AnswerShare: defaultAnswerShare, SuspectMS: defaultSuspectMS}
+			return &Settings{Choice: gatherers.Defaults(), AcceptMS: defaultAcceptMS, SuspectMS: defaultSuspectMS}
 		},
 		Options: func(s any) fx.Option {
 			return fx.Provide(func(p params) provided {
@@ -33,9 +34,8 @@
 }
 
 const (
-	defaultAcceptMS    = 30
-	defaultAnswerShare = 1.5
-	defaultSuspectMS   = 2000
+	defaultAcceptMS  = 30
+	defaultSuspectMS = 2000
 )
 
 // Settings of the plug-in.
@@ -44,9 +44,6 @@
 	Choice gatherers.Settings `json:"choice"`
 	// AcceptMS is how long a VM may take to say that it gathers, in milliseconds. Default 30.
 	AcceptMS int64 `json:"accept_ms" validate:"gte=1,lte=60000"`
-	// AnswerShare is the time, as a share of the latency objective, after which the request runs on this VM although
-	// another one gathers. Default 1.5.
-	AnswerShare float64 `json:"answer_share" validate:"gt=0,lte=100"`
 	// SuspectMS is how long a VM that did not answer gets no requests, in milliseconds. Default 2000.
 	SuspectMS int64 `json:"suspect_ms" validate:"gte=0,lte=600000"`
 }
@@ -76,9 +73,9 @@
 	pending sync.Map
 	// suspects maps core.VMName to the time.Time until which the VM gets no requests.
 	suspects sync.Map
-	// gathering maps taskKey to the context.CancelFunc of a request of another VM.
+	// gathering maps taskKey to *task.
 	gathering sync.Map
-	run       func(ctx context.Context, view *core.View, r *core.ForwardRequest) kinds.RoutedAnswer
+	run       func(ctx context.Context, r kinds.DelegatedRequest) kinds.RoutedAnswer
 	// handed, declined, lost and gathered count requests.
 	handed, declined, lost, gathered atomic.Uint64
 }
@@ -99,12 +96,13 @@
 	p.Peers.Handle(acceptMessage{}, d.accepted)
 	p.Peers.Handle(answerMessage{}, d.answered)
 	p.Peers.Handle(abandonMessage{}, d.abandoned)
+	p.Peers.Handle(confirmMessage{}, d.confirmed)
 	p.Peers.OnLinkDown(d.linkDown)
 	return d
 }
 
 // Serve implements kinds.Delegate.
-func (d *delegate) Serve(run func(context.Context, *core.View, *core.ForwardRequest) kinds.RoutedAnswer) {
+func (d *delegate) Serve(run func(context.Context, kinds.DelegatedRequest) kinds.RoutedAnswer) {
 	d.run = run
 }
 
@@ -121,19 +119,15 @@
 }
 
 // Delegate implements kinds.Delegate.
-func (d *delegate) Delegate(ctx context.Context, view *core.View, route *core.Route, r *core.ForwardRequest) (kinds.RoutedAnswer, bool) {
+func (d *delegate) Delegate(ctx context.Context, view *core.View, route *core.Route, r *core.ForwardRequest) (kinds.RoutedAnswer, kinds.DelegateOutcome) {
 	choice := gatherers.Request{
 		Key: r.ID, Coverage: gatherers.Coverage(route.Gather, view.Registered), ConnectionLimit: gatherers.ConnectionLimit(route.Gather, view.Routes),
 	}
 	chosen := d.settings.Choice.Choose(view.Members, choice, d.usable)
 	if len(chosen) == 0 {
-		return kinds.RoutedAnswer{}, false
+		return kinds.RoutedAnswer{}, kinds.NotDelegated
 	}
-	return d.handOver(ctx, view, route, r, chosen[0])
-}
-
-// handOver asks a VM to gather and waits for its answer. It gives up early enough for this VM to run the request itself.
-func (d *delegate) handOver(ctx context.Context, view *core.View, route *core.Route, r *core.ForwardRequest, to core.VM) (kinds.RoutedAnswer, bool) {
+	to := chosen[0]
 	h := &handover{to: to.Name, accepted: make(chan struct{}), answered: make(chan *answerMessage, 1), failed: make(chan struct{})}
 	m := newGatherMessage(r, view.Routes.Version, d.Clock.Now())
 	m.Sequence, m.Started = d.sequence.Add(1), d.Identity.Incarnation
@@ -143,50 +137,88 @@
 	d.Log.Info("gather_handed_over", "request", string(r.ID), "peer", string(to.Name), "peer_domain", string(to.Domain), "table", uint64(m.Table))
 	if err := d.Peers.Send(ctx, to, m); err != nil {
 		d.suspect(to.Name, err.Error())
-		return kinds.RoutedAnswer{}, false
+		return kinds.RoutedAnswer{}, kinds.NotDelegated
+	}
+	if answer, outcome := d.awaitAccept(ctx, r, to, h); outcome != kinds.Delegated || answer.Status != 0 {
+		if outcome == kinds.MayBeDelegated || ctx.Err() != nil {
+			d.abandon(to, &m)
+		}
+		return answer, outcome
+	}
+	if err := d.Peers.Send(ctx, to, confirmMessage{Sequence: m.Sequence, Started: m.Started}); err != nil {
+		d.Log.Info("confirm_undelivered", "request", string(r.ID), "peer", string(to.Name), "error", err.Error())
+	}
+	answer := d.awaitAnswer(ctx, route, r, to, h)
+	if ctx.Err() != nil {
+		d.abandon(to, &m)
+	}
+	return answer, kinds.Delegated
+}
+
+// assumedVMs is how many VMs share an allowance while the others are not known. It is above the number of VMs of any
+// deployment so far, so the shares never exceed the whole.
+const assumedVMs = 160
+
+// Share implements kinds.Delegate.
+func (d *delegate) Share(view *core.View, service core.ServiceName) float64 {
+	if len(view.Members.All) == 0 {
+		return 1.0 / assumedVMs
 	}
+	limit := view.Routes.Services[service].MaxConnections
+	return d.settings.Choice.Share(view.Members, limit)
+}
+
+// awaitAccept waits until the VM says that it gathers. Delegated without an answer means that it does.
+func (d *delegate) awaitAccept(ctx context.Context, r *core.ForwardRequest, to core.VM, h *handover) (kinds.RoutedAnswer, kinds.DelegateOutcome) {
 	timer := time.NewTimer(time.Duration(d.settings.AcceptMS) * time.Millisecond)
 	defer timer.Stop()
-	accepted := h.accepted
-	for {
-		select {
-		case <-accepted:
-			accepted = nil
-			limit := r.Arrived.Add(time.Duration(d.settings.AnswerShare * float64(route.Objective)))
-			timer.Reset(limit.Sub(d.Clock.Now()))
-		case a := <-h.answered:
-			return d.take(r, to, a)
-		case <-h.failed:
-			d.suspect(to.Name, "the link failed")
-			return kinds.RoutedAnswer{}, false
-		case <-timer.C:
-			d.abandon(to, &m)
-			if accepted != nil {
-				d.suspect(to.Name, "no sign that it gathers")
-			} else {
-				d.Log.Warn("gather_late", "request", string(r.ID), "peer", string(to.Name))
-			}
-			return kinds.RoutedAnswer{}, false
-		case <-ctx.Done():
-			d.abandon(to, &m)
-			return kinds.RoutedAnswer{Status: statusCallerGone, Error: core.Errorf(core.CodeCancelled, "the caller has gone")}, true
+	select {
+	case <-h.accepted:
+		return kinds.RoutedAnswer{}, kinds.Delegated
+	case a := <-h.answered:
+		if a.Declined != core.CodeOK {
+			d.declined.Add(1)
+			d.Log.Info("gather_declined", "request", string(r.ID), "peer", string(to.Name), "code", a.Declined.String())
+			return kinds.RoutedAnswer{}, kinds.NotDelegated
 		}
+		return a.answer(), kinds.Delegated
+	case <-h.failed:
+		d.suspect(to.Name, "the link failed")
+	case <-timer.C:
+		d.suspect(to.Name, "no sign that it gathers")
+	case <-ctx.Done():
+		return callerGone, kinds.Delegated
 	}
+	return kinds.RoutedAnswer{}, kinds.MayBeDelegated
 }
 
-// statusCallerGone is the status of an answer that nobody reads.
-const statusCallerGone = 502
+// callerGone is an answer that nobody reads.
+var callerGone = kinds.RoutedAnswer{Status: http.StatusBadGateway, Error: core.Errorf(core.CodeCancelled, "the caller has gone")}
 
-// take handles the answer of the VM that was asked.
-func (d *delegate) take(r *core.ForwardRequest, to core.VM, a *answerMessage) (kinds.RoutedAnswer, bool) {
-	if a.Declined != core.CodeOK {
-		d.declined.Add(1)
-		d.Log.Info("gather_declined", "request", string(r.ID), "peer", string(to.Name), "code", a.Declined.String())
-		return kinds.RoutedAnswer{}, false
+// awaitAnswer waits for the answer of a VM that gathers. The request is not run here any more: with what the other VM may
+// have sent, that could pass the attempts that the route allows. A caller that is told at once can ask again.
+func (d *delegate) awaitAnswer(ctx context.Context, route *core.Route, r *core.ForwardRequest, to core.VM, h *handover) kinds.RoutedAnswer {
+	limit := route.Timeout
+	if r.Patience > 0 {
+		limit = min(limit, r.Patience)
+	}
+	timer := time.NewTimer(limit - d.Clock.Now().Sub(r.Arrived))
+	defer timer.Stop()
+	select {
+	case a := <-h.answered:
+		answer := a.answer()
+		d.Log.Info("gather_answered", "request", string(r.ID), "peer", string(to.Name), "status", answer.Status, "took_ms", float64(d.Clock.Now().Sub(r.Arrived).Microseconds())/1000)
+		return answer
+	case <-h.failed:
+		d.suspect(to.Name, "the link failed")
+		d.Log.Warn("gather_lost", "request", string(r.ID), "peer", string(to.Name))
+		return kinds.RoutedAnswer{Status: http.StatusBadGateway, Error: core.Errorf(core.CodeConnectionLost, "the VM that gathered does not answer")}
+	case <-timer.C:
+		d.suspect(to.Name, "no answer in time")
+		return kinds.RoutedAnswer{Status: http.StatusGatewayTimeout, Error: core.Errorf(core.CodeOutcomeUnknown, "no answer in time")}
+	case <-ctx.Done():
+		return callerGone
 	}
-	answer := a.answer()
-	d.Log.Info("gather_answered", "request", string(r.ID), "peer", string(to.Name), "status", answer.Status, "took_ms", float64(d.Clock.Now().Sub(r.Arrived).Microseconds())/1000)
-	return answer, true
 }
 
 // abandon tells the VM that its answer is not wanted any more.
--- a/plugins/delegate/peers/serve.go
+++ b/plugins/delegate/peers/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel/kinds"
@@ -14,6 +15,13 @@
 	sequence uint64
 }
 
+// task is a request of another VM.
+type task struct {
+	cancel    context.CancelFunc
+	confirmed chan struct{}
+	confirm   sync.Once
+}
+
 // gather runs a request of another VM.
 func (d *delegate) gather(from core.VM, m kinds.Message) {
 	g := m.(*gatherMessage)
@@ -25,12 +33,14 @@
 	d.gathered.Add(1)
 	key := taskKey{from.Name, g.Started, g.Sequence}
 	ctx, cancel := context.WithCancel(context.Background())
-	d.gathering.Store(key, cancel)
+	t := &task{cancel: cancel, confirmed: make(chan struct{})}
+	d.gathering.Store(key, t)
 	go func() {
 		defer cancel()
 		defer d.gathering.Delete(key)
 		d.reply(from, acceptMessage{Sequence: g.Sequence, Started: g.Started})
-		d.answer(from, g, newAnswerMessage(d.run(ctx, view, g.request(d.Clock.Now()))))
+		request := kinds.DelegatedRequest{Request: g.request(d.Clock.Now()), View: view, Confirmed: t.confirmed}
+		d.answer(from, g, newAnswerMessage(d.run(ctx, request)))
 	}()
 }
 
@@ -62,7 +72,16 @@
 // abandoned stops the work on a request of another VM.
 func (d *delegate) abandoned(from core.VM, m kinds.Message) {
 	a := m.(*abandonMessage)
-	if cancel, ok := d.gathering.Load(taskKey{from.Name, a.Started, a.Sequence}); ok {
-		cancel.(context.CancelFunc)()
+	if t, ok := d.gathering.Load(taskKey{from.Name, a.Started, a.Sequence}); ok {
+		t.(*task).cancel()
+	}
+}
+
+// confirmed lets a request of another VM use all attempts of its route.
+func (d *delegate) confirmed(from core.VM, m kinds.Message) {
+	c := m.(*confirmMessage)
+	if found, ok := d.gathering.Load(taskKey{from.Name, c.Started, c.Sequence}); ok {
+		t := found.(*task)
+		t.confirm.Do(func() { close(t.confirmed) })
 	}
 }
--- a/plugins/router/fanout/policies.go
+++ b/plugins/router/fanout/policies.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gooseberrylane.example/coord/budget"
@@ -12,22 +13,19 @@
 	"gooseberrylane.example/core"
 )
 
-// assumedVMs is how many VMs share the constant part of a budget while their number is not known. It is above the number
-// of VMs of any deployment so far, so the shares never exceed the whole.
-const assumedVMs = 160
-
 // policies implement fanout.Policies for all requests of a VM.
 type policies struct {
 	params
 	settings Settings
 	// generators hands out random sources, because one source serves one goroutine at a time.
 	generators sync.Pool
-	// latencies maps core.RouteName to *hedge.Quantile, budgets maps core.ServiceName to *budget.Window.
+	started    time.Time
+	// latencies maps core.RouteName to *hedge.Quantile, budgets maps core.ServiceName to *extraBudget.
 	latencies, budgets sync.Map
 }
 
 func newPolicies(p params, settings Settings) *policies {
-	return &policies{params: p, settings: settings, generators: sync.Pool{New: func() any { return p.Random.Generator() }}}
+	return &policies{params: p, settings: settings, started: p.Clock.Now(), generators: sync.Pool{New: func() any { return p.Random.Generator() }}}
 }
 
 // random returns a source for the use of the calling goroutine.
@@ -79,19 +77,34 @@
 	return min(max(learned, time.Duration(p.settings.HedgeMinMS*float64(time.Millisecond))), most)
 }
 
-func (p *policies) budget(now time.Time, service core.ServiceName) *budget.Window {
+// extraBudget is the budget for extra requests to one service.
+type extraBudget struct {
+	window *budget.Window
+	// members are those for which the share of this VM was computed.
+	members atomic.Pointer[core.Members]
+}
+
+func (p *policies) budget(now time.Time, service core.ServiceName) *extraBudget {
 	if b, ok := p.budgets.Load(service); ok {
-		return b.(*budget.Window)
+		return b.(*extraBudget)
 	}
 	s := &p.settings
-	b, _ := p.budgets.LoadOrStore(service, budget.NewWindow(now, time.Duration(s.ExtraWindowMS)*time.Millisecond,
-		s.ExtraMargin*s.ExtraRatio, s.ExtraMargin*s.ExtraSlack/assumedVMs))
-	return b.(*budget.Window)
+	b, _ := p.budgets.LoadOrStore(service, &extraBudget{
+		window: budget.NewWindow(now, time.Duration(s.ExtraWindowMS)*time.Millisecond, s.ExtraMargin*s.ExtraRatio, 0),
+	})
+	return b.(*extraBudget)
 }
 
 // AllowExtra implements fanout.Policies.
 func (p *policies) AllowExtra(now time.Time, service core.ServiceName) bool {
-	return p.budget(now, service).Spend(now)
+	b := p.budget(now, service)
+	// A process that has just started does not know what its predecessor spent in the same window, so it leaves the
+	// constant part alone until that window is over.
+	if view := p.State.Load(); view.Members != b.members.Load() && now.Sub(p.started) > time.Duration(p.settings.ExtraWindowMS)*time.Millisecond {
+		b.window.SetSlack(p.settings.ExtraMargin * p.settings.ExtraSlack * p.Delegate.Share(view, service))
+		b.members.Store(view.Members)
+	}
+	return b.window.Spend(now)
 }
 
 // observe learns from the end of an attempt.
--- a/plugins/router/fanout/router.go
+++ b/plugins/router/fanout/router.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -104,7 +105,7 @@
 
 func newRouter(p params, settings Settings) *router {
 	r := &router{params: p, settings: settings, policies: newPolicies(p, settings)}
-	p.Delegate.Serve(r.runHere)
+	p.Delegate.Serve(r.runDelegated)
 	return r
 }
 
@@ -118,29 +119,48 @@
 	if route == nil {
 		return r.refuse(request, core.Errorf(core.CodeUnknownRoute, "host %q, path %q, table %d", request.Host, request.Path, view.Routes.Version), 0)
 	}
+	t := task{view: view, route: route, request: request}
 	if route.Gather != nil {
-		if answer, ok := r.Delegate.Delegate(ctx, view, route, request); ok {
+		answer, outcome := r.Delegate.Delegate(ctx, view, route, request)
+		switch {
+		case outcome == kinds.Delegated:
 			return answer
+		case outcome == kinds.MayBeDelegated && route.MaxAttempts == 1:
+			return failed(http.StatusBadGateway, core.Errorf(core.CodeOutcomeUnknown, "the VM that was asked to gather does not answer"))
+		case outcome == kinds.MayBeDelegated:
+			t.attempts = 1
 		}
 	}
-	return r.runRoute(ctx, view, route, request)
+	return r.run(ctx, t)
 }
 
-// runHere runs a request of another VM on the view that it was accepted on.
-func (r *router) runHere(ctx context.Context, view *core.View, request *core.ForwardRequest) kinds.RoutedAnswer {
-	route := view.Routes.Match(request.Host, request.Path)
+// task is a request that this VM runs.
+type task struct {
+	view    *core.View
+	route   *core.Route
+	request *core.ForwardRequest
+	// attempts bounds the upstreams for each leg, 0 means as many as the route allows. The bound ends when confirmed is
+	// closed.
+	attempts  int
+	confirmed <-chan struct{}
+}
+
+// runDelegated runs a request of another VM on the view that it was accepted on.
+func (r *router) runDelegated(ctx context.Context, d kinds.DelegatedRequest) kinds.RoutedAnswer {
+	route := d.View.Routes.Match(d.Request.Host, d.Request.Path)
 	if route == nil {
-		return r.refuse(request, core.Errorf(core.CodeUnknownRoute, "host %q, path %q, table %d", request.Host, request.Path, view.Routes.Version), 0)
+		return r.refuse(d.Request, core.Errorf(core.CodeUnknownRoute, "host %q, path %q, table %d", d.Request.Host, d.Request.Path, d.View.Routes.Version), 0)
 	}
-	return r.runRoute(ctx, view, route, request)
+	return r.run(ctx, task{view: d.View, route: route, request: d.Request, attempts: max(route.MaxAttempts-1, 1), confirmed: d.Confirmed})
 }
 
-func (r *router) runRoute(ctx context.Context, view *core.View, route *core.Route, request *core.ForwardRequest) kinds.RoutedAnswer {
-	plan, err := r.plan(view, route, request)
+func (r *router) run(ctx context.Context, t task) kinds.RoutedAnswer {
+	plan, err := r.plan(t.view, t.route, t.request)
 	if err != nil {
-		return r.refuse(request, err, r.returnAfter())
+		return r.refuse(t.request, err, r.returnAfter())
 	}
-	return newRun(r, view, plan, request).drive(ctx)
+	plan.Attempts = t.attempts
+	return newRun(r, t, plan).drive(ctx)
 }
 
 // plan lists the services that the request goes to.
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -15,9 +15,8 @@
 // run is one request on its way through the machine.
 type run struct {
 	*router
-	view    *core.View
+	task
 	plan    fanout.Plan
-	request *core.ForwardRequest
 	machine *fanout.Machine
 	ended   chan end
 	// parts holds the successful reply of each leg, failure the last reply that was none.
@@ -33,9 +32,9 @@
 	reply core.Reply
 }
 
-func newRun(r *router, view *core.View, plan fanout.Plan, request *core.ForwardRequest) *run {
+func newRun(r *router, t task, plan fanout.Plan) *run {
 	return &run{
-		router: r, view: view, plan: plan, request: request, machine: fanout.New(plan, r.policies),
+		router: r, task: t, plan: plan, machine: fanout.New(plan, r.policies),
 		// No attempt ever waits for the run, which may have ended.
 		ended: make(chan end, mostAttempts(plan)),
 		parts: make([]*core.Reply, len(plan.Legs)), asked: make([][]*core.UpstreamState, len(plan.Legs)),
@@ -64,7 +63,7 @@
 	work, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	now := r.Clock.Now()
 	for i := range r.plan.Legs {
-		r.policies.budget(now, r.plan.Legs[i].Service).Count(now)
+		r.policies.budget(now, r.plan.Legs[i].Service).window.Count(now)
 	}
 	r.send(work, r.machine.Start(now))
 	timer := time.NewTimer(r.machine.Next().Sub(now))
@@ -75,6 +74,9 @@
 			r.send(work, r.finished(e))
 		case <-timer.C:
 			r.send(work, r.machine.Wake(r.Clock.Now()))
+		case <-r.confirmed:
+			r.confirmed = nil
+			r.machine.AllowAllAttempts()
 		case <-ctx.Done():
 			cancel(context.Canceled)
 			r.counters.left.Add(1)
