Start from stale lists, and write log lines in batches

Change: lists are stale until a check shows that the store lags; log lines are collected for 100 ms; the sends of one decision are one line. The watch for VMs is shorter than the history of the store.

--- a/coord/catalog/staleness.go
+++ b/coord/catalog/staleness.go
@@ -8,6 +8,8 @@
 type Staleness struct {
 	checked bool
 	lagging bool
+	// gone is true between the loss of the history and the next check.
+	gone bool
 	// checkAt is when a store that lagged is checked again.
 	checkAt time.Time
 }
@@ -26,11 +28,15 @@
 
 // Checked takes the positions of a current read and of a stale one that followed it after AcceptedLag.
 func (s *Staleness) Checked(now time.Time, current, stale uint64) {
-	s.checked, s.lagging, s.checkAt = true, stale < current, now.Add(RecheckAfter)
+	s.checked, s.gone, s.lagging, s.checkAt = true, false, stale < current, now.Add(RecheckAfter)
 }
 
 // HistoryGone tells that the store dropped its history.
-func (s *Staleness) HistoryGone() { s.checked = false }
+func (s *Staleness) HistoryGone() { s.checked, s.gone = false, true }
 
 // AllowStale reports whether stale reads are as new as others, as far as is known.
 func (s *Staleness) AllowStale() bool { return s.checked && !s.lagging }
+
+// AllowStaleList reports whether a list may be stale. One before the first check is followed by watches that are current
+// or as good as that, which tell what it lacks.
+func (s *Staleness) AllowStaleList() bool { return !s.gone && !s.lagging }
--- a/kernel/kinds/gateway.go
+++ b/kernel/kinds/gateway.go
@@ -56,13 +56,14 @@
 // CodePlatformUnavailable when the store did not answer, CodeNotFound when no table exists, CodeHistoryGone when a watch
 // must begin anew with a list.
 type CatalogStore interface {
-	// Routes returns the newest table of routes.
-	Routes(ctx context.Context) (*core.RouteTable, Cursor, error)
+	// Routes returns the newest table of routes. Here and below, allowStale accepts data that may be seconds old, which
+	// costs the platform less.
+	Routes(ctx context.Context, allowStale bool) (*core.RouteTable, Cursor, error)
 	// WatchRoutes waits for a later table. A nil table without an error means that the wait ended without a change.
 	WatchRoutes(ctx context.Context, o WatchOptions) (*core.RouteTable, Cursor, error)
 	// Upstreams returns the entries of all upstreams, those that cannot be read included.
-	Upstreams(ctx context.Context) ([]catalog.Entry, Cursor, error)
-	// Position returns the newest position, from old data if allowStale is true.
+	Upstreams(ctx context.Context, allowStale bool) ([]catalog.Entry, Cursor, error)
+	// Position returns the newest position.
 	Position(ctx context.Context, allowStale bool) (Cursor, error)
 	// WatchUpstreams waits for changed entries.
 	WatchUpstreams(ctx context.Context, o WatchOptions) ([]catalog.Entry, Cursor, error)
@@ -84,7 +85,7 @@
 	// WithdrawVM removes the entry of a VM that leaves.
 	WithdrawVM(ctx context.Context, name core.VMName) error
 	// VMs returns all entries.
-	VMs(ctx context.Context) ([]VMEntry, Cursor, error)
+	VMs(ctx context.Context, allowStale bool) ([]VMEntry, Cursor, error)
 	// WatchVMs waits for changed entries.
 	WatchVMs(ctx context.Context, o WatchOptions) ([]VMEntry, Cursor, error)
 }
--- a/kernel/logsink/logsink.go
+++ b/kernel/logsink/logsink.go
@@ -17,6 +17,10 @@
 	DefaultBytesPerSecond = 64 << 10
 	// burstSeconds is how many seconds of quiet may be made up for at once.
 	burstSeconds = 4
+	// flushDelay is how long lines are collected, so that many lines cost one write.
+	flushDelay = 100 * time.Millisecond
+	// maxBatchBytes bounds the lines of one write.
+	maxBatchBytes = 64 << 10
 	// reportPeriod is how often the number of dropped lines is written.
 	reportPeriod = 5 * time.Second
 )
@@ -84,37 +88,56 @@
 	for {
 		select {
 		case line := <-s.lines:
-			// Nobody is left to tell of a log that cannot be written.
-			_, _ = s.out.Write(line)
+			s.collect(line)
 		case <-report.C:
 			reported = s.report(reported)
 		case <-s.stop:
-			s.drain()
+			s.writeQueued(nil)
 			s.report(reported)
 			return
 		}
 	}
 }
 
-func (s *Sink) report(reported uint64) uint64 {
-	dropped := s.dropped.Load()
-	if dropped > reported {
-		_, _ = fmt.Fprintf(s.out, `{"time":%q,"level":"WARN","msg":"log_lines_dropped","lines":%d}`+"\n", time.Now().Format(time.RFC3339Nano), dropped-reported)
+// collect waits for more lines and writes them together.
+func (s *Sink) collect(first []byte) {
+	timer := time.NewTimer(flushDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.stop:
 	}
-	return dropped
+	s.writeQueued(first)
 }
 
-func (s *Sink) drain() {
+// writeQueued writes all lines that wait.
+func (s *Sink) writeQueued(batch []byte) {
 	for {
 		select {
 		case line := <-s.lines:
-			_, _ = s.out.Write(line)
+			batch = append(batch, line...)
+			if len(batch) < maxBatchBytes {
+				continue
+			}
 		default:
-			return
+			if len(batch) == 0 {
+				return
+			}
 		}
+		// Nobody is left to tell of a log that cannot be written.
+		_, _ = s.out.Write(batch)
+		batch = batch[:0]
 	}
 }
 
+func (s *Sink) report(reported uint64) uint64 {
+	dropped := s.dropped.Load()
+	if dropped > reported {
+		_, _ = fmt.Fprintf(s.out, `{"time":%q,"level":"WARN","msg":"log_lines_dropped","lines":%d}`+"\n", time.Now().Format(time.RFC3339Nano), dropped-reported)
+	}
+	return dropped
+}
+
 // Close writes the lines that wait, for at most a time.
 func (s *Sink) Close(limit time.Duration) {
 	s.once.Do(func() { close(s.stop) })
--- a/plugins/catalog/store/store.go
+++ b/plugins/catalog/store/store.go
@@ -220,7 +220,7 @@
 }
 
 func (f *follower) listRoutes(ctx context.Context) (kinds.Cursor, error) {
-	table, cursor, err := f.Store.Routes(ctx)
+	table, cursor, err := f.Store.Routes(ctx, f.allowStaleList())
 	if codeOf(err) == core.CodeNotFound {
 		// No operator has written a table yet; the watch tells of the first.
 		return cursor, nil
@@ -242,6 +242,12 @@
 	return o
 }
 
+func (f *follower) allowStaleList() bool {
+	f.checking.Lock()
+	defer f.checking.Unlock()
+	return f.settings.AllowStale && f.staleness.AllowStaleList()
+}
+
 // checkStaleness compares a current and a stale read if that is due. When the check fails, watches ask for current data.
 func (f *follower) checkStaleness(ctx context.Context) {
 	f.checking.Lock()
@@ -287,7 +293,7 @@
 }
 
 func (f *follower) listUpstreams(ctx context.Context) (kinds.Cursor, error) {
-	entries, cursor, err := f.Store.Upstreams(ctx)
+	entries, cursor, err := f.Store.Upstreams(ctx, f.allowStaleList())
 	if err != nil {
 		return cursor, err
 	}
--- a/plugins/membership/store/store.go
+++ b/plugins/membership/store/store.go
@@ -30,7 +30,7 @@
 }
 
 const (
-	defaultWatchMS  = 25_000
+	defaultWatchMS  = 14_000
 	defaultGatherMS = 2000
 	defaultRetryMS  = 1000
 	// withdrawTimeout bounds the removal of the own entry at a stop.
@@ -41,7 +41,7 @@
 type Settings struct {
 	// Capacity is the processing power of this VM in cores. Required.
 	Capacity float64 `json:"capacity" validate:"gt=0"`
-	// WatchMS is the length of one waiting watch, in milliseconds. Default 25000.
+	// WatchMS is the length of one waiting watch, in milliseconds. Default 14000.
 	WatchMS int64 `json:"watch_ms" validate:"gte=100,lte=30000"`
 	// GatherMS is the pause after a change, in milliseconds, so that many VMs that start together cost few calls. Default
 	// 2000.
@@ -127,7 +127,7 @@
 		// VMs that start together see each other in one list.
 		pause(ctx, time.Duration(m.settings.GatherMS)*time.Millisecond)
 	}
-	entries, cursor, err := m.Store.VMs(ctx)
+	entries, cursor, err := m.Store.VMs(ctx, true)
 	if err != nil {
 		return err
 	}
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -106,6 +106,7 @@
 
 // send starts attempts.
 func (r *run) send(ctx context.Context, sends []fanout.Send) {
+	r.logSends(sends)
 	for _, s := range sends {
 		switch s.Reason {
 		case fanout.Hedge:
@@ -114,10 +115,6 @@
 		case fanout.Retry:
 			r.counters.retries.Add(1)
 		}
-		if s.Reason != fanout.First || r.plan.Route.Gather == nil {
-			r.Log.Info("attempt_sent", "request", string(r.request.ID), "service", string(r.plan.Legs[s.Leg].Service), "upstream", string(s.Upstream.ID),
-				"reason", s.Reason.String(), "after_ms", millisecondsSince(r.request.Arrived))
-		}
 		state := r.view.State(s.Upstream.ID)
 		if state == nil {
 			state = &core.UpstreamState{}
@@ -129,6 +126,20 @@
 	}
 }
 
+// logSends writes one line for the sends that one decision led to. The first sends of a gathered request go to a replica
+// of each shard and are left out.
+func (r *run) logSends(sends []fanout.Send) {
+	if len(sends) == 0 || (sends[0].Reason == fanout.First && r.plan.Route.Gather != nil) {
+		return
+	}
+	upstreams := make([]string, len(sends))
+	for i, s := range sends {
+		upstreams[i] = string(s.Upstream.ID)
+	}
+	r.Log.Info("attempts_sent", "request", string(r.request.ID), "service", string(r.plan.Legs[sends[0].Leg].Service), "upstreams", upstreams,
+		"reason", sends[0].Reason.String(), "after_ms", millisecondsSince(r.request.Arrived))
+}
+
 // noteLate tells the selection that the upstreams of a leg have not answered in time.
 func (r *run) noteLate(leg int) {
 	for _, state := range r.asked[leg] {
