--- a/coord/routing/routing_test.go
+++ b/coord/routing/routing_test.go
@@ -15,7 +15,8 @@
 func TestLongestPrefixOfTheHostWins(t *testing.T) {
 	c := qt.New(t)
 	table := (&core.RouteTable{Routes: []core.Route{
-		{Name: "short", Host: "a.example", Prefix: "/x/"}, {Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
 		{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
 	}}).Index()
 	c.Assert(table.Match("A.example:80", "/x/y/z/1").Name, qt.Equals, core.RouteName("long"))
--- a/plugins/metrics/expvar/docs_test.go
+++ b/plugins/metrics/expvar/docs_test.go
@@ -12,6 +12,7 @@
 
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
+	_ "gooseberrylane.example/platform"
 	"gooseberrylane.example/plugins/metrics/expvar"
 	_ "gooseberrylane.example/plugins/standard"
 )
@@ -22,6 +23,12 @@
 	kinds.PlatformKind: `{"address": "127.0.0.1:1"}`,
 }
 
+// requiredBy holds the settings of single plug-ins that need others than their kind.
+var requiredBy = map[string]string{
+	"configuration static": `{"services": []}`, "membership store": `{"capacity": 1}`, "catalog_store machines": `{"address": "127.0.0.1:1"}`,
+	"front_end gateway": `{"listen": "127.0.0.1:1", "listen_ready": "127.0.0.1:1", "ready_path": "/"}`,
+}
+
 // several are the kinds of which any number of plug-ins is chosen.
 var several = []kernel.Kind{kinds.FrontEnd, kinds.MetricsKind, kinds.QueryObserverKind, kinds.ReportKind}
 
@@ -35,8 +42,8 @@
 		}
 		for _, name := range names {
 			settings := required[kind]
-			if kind == kinds.ConfigurationKind && name == "static" {
-				settings = `{"services": []}`
+			if own, ok := requiredBy[string(kind)+" "+name]; ok {
+				settings = own
 			}
 			plugins[kind] = append(plugins[kind], kernel.PluginChoice{Name: name, Settings: json.RawMessage(settings)})
 		}
--- a/plugins/router/fanout/answer.go
+++ b/plugins/router/fanout/answer.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"gooseberrylane.example/coord/burn"
 	"gooseberrylane.example/coord/fanout"
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel/kinds"
@@ -24,10 +25,27 @@
 		answer = r.failedAnswer()
 	}
 	r.count(verdict)
+	covered, all := r.machine.Covered()
+	r.levels.record(r.plan.Route, burn.Event{Code: codeOf(verdict), Took: r.Clock.Now().Sub(r.request.Arrived), Asked: all, Covered: covered})
 	r.logEnd(verdict.String(), answer.Status, answer.RetryAfter)
 	return answer
 }
 
+func codeOf(verdict fanout.Verdict) core.Code {
+	switch verdict {
+	case fanout.Complete:
+		return core.CodeOK
+	case fanout.Partial:
+		return core.CodePartial
+	case fanout.Refused:
+		return core.CodeNotRun
+	case fanout.Expired:
+		return core.CodeDeadlineExceeded
+	default:
+		return core.CodeOutcomeUnknown
+	}
+}
+
 func (r *run) count(verdict fanout.Verdict) {
 	c := &r.counters
 	switch verdict {
--- a/plugins/router/fanout/router.go
+++ b/plugins/router/fanout/router.go
@@ -95,6 +95,7 @@
 	settings Settings
 	policies *policies
 	counters counters
+	levels   levels
 }
 
 // counters count the ends of requests and the sends beyond the first.
@@ -192,6 +193,6 @@
 	return []kinds.Metric{
 		metric("requests_complete", &c.complete), metric("requests_partial", &c.partial), metric("requests_failed", &c.failed),
 		metric("requests_refused", &c.refused), metric("requests_expired", &c.expired), metric("requests_left", &c.left),
-		metric("hedges", &c.hedges), metric("retries", &c.retries),
+		metric("hedges", &c.hedges), metric("retries", &c.retries), r.levels.metric(),
 	}
 }
