Notice at the end of each watch that stale reads lag

A stale watch of 6 s that waits while the store drops its history is answered from old data until its end, and a list after a watch that broke off was stale too. Change: watches are as long as the stability window less the time to catch up; any failed watch, and one whose position stands still, asks for a comparison of reads, and a stale list before a failed comparison is read again.

--- a/coord/catalog/staleness.go
+++ b/coord/catalog/staleness.go
@@ -34,6 +34,9 @@
 // HistoryGone tells that the store dropped its history.
 func (s *Staleness) HistoryGone() { s.checked, s.gone = false, true }
 
+// Doubt asks for a check: a watch broke off, which it also does when the store drops its history, or told nothing new.
+func (s *Staleness) Doubt() { s.checked = false }
+
 // AllowStale reports whether stale reads are as new as others, as far as is known.
 func (s *Staleness) AllowStale() bool { return s.checked && !s.lagging }
 
--- a/plugins/catalog/store/store.go
+++ b/plugins/catalog/store/store.go
@@ -37,7 +37,7 @@
 }
 
 const (
-	defaultWatchMS = 6000
+	defaultWatchMS = 2500
 	// defaultGatherMS and defaultUpstreamGatherMS are a tenth and a quarter of the shortest time within which a change must
 	// be in force, 3 s. Upstreams change far more often than routes.
 	defaultGatherMS         = 300
@@ -50,7 +50,8 @@
 
 // Settings of the plug-in.
 type Settings struct {
-	// WatchMS is the length of one waiting watch, in milliseconds. Default 6000.
+	// WatchMS is the length of one waiting watch, in milliseconds. A stale watch may wait on old data when the store drops its
+	// history; its end tells. Default 2500.
 	WatchMS int64 `json:"watch_ms" validate:"gte=100,lte=30000"`
 	// GatherMS is the pause after a watch that told of a change, in milliseconds, so that changes in quick succession cost
 	// one call. Default 300.
@@ -140,17 +141,30 @@
 func (f *follower) follow(ctx context.Context, what string, gather time.Duration, list func(context.Context) (kinds.Cursor, error), watch func(context.Context, kinds.Cursor) (kinds.Cursor, error)) {
 	link := &link{follower: f, what: what, random: f.Random.Generator()}
 	for ctx.Err() == nil {
+		stale := f.allowStaleList()
 		cursor, err := list(ctx)
 		f.lists.Add(1)
 		for err == nil {
 			link.answered()
-			before := cursor
 			f.checkStaleness(ctx)
-			if cursor, err = watch(ctx, cursor); err == nil && cursor != before {
+			if stale && !f.allowStaleList() {
+				// The list may lack what the store no longer tells in a watch.
+				break
+			}
+			before := cursor
+			cursor, err = watch(ctx, cursor)
+			switch {
+			case err != nil:
+			case cursor == before:
+				// Upstreams write all the time, so a position that stands still may be that of old data.
+				f.doubtStaleReads()
+			default:
 				pause(ctx, gather)
 			}
 		}
-		link.failed(ctx, err)
+		if err != nil {
+			link.failed(ctx, err)
+		}
 	}
 }
 
@@ -188,6 +202,7 @@
 		l.staleness.HistoryGone()
 		l.checking.Unlock()
 	} else {
+		l.doubtStaleReads()
 		if l.failedInRow == 0 {
 			l.lostAt = l.Clock.Now()
 			l.Log.Warn("store_lost", "what", l.what, "error", err.Error())
@@ -248,6 +263,13 @@
 	return f.settings.AllowStale && f.staleness.AllowStaleList()
 }
 
+// doubtStaleReads makes the next watch wait for a check.
+func (f *follower) doubtStaleReads() {
+	f.checking.Lock()
+	defer f.checking.Unlock()
+	f.staleness.Doubt()
+}
+
 // checkStaleness compares a current and a stale read if that is due. When the check fails, watches ask for current data.
 func (f *follower) checkStaleness(ctx context.Context) {
 	f.checking.Lock()
