Notice failure domains that are cut off, and watches that were cut off

Cause: during a zone cut, VMs of the cut zone held gathered requests until the callers left, and the others spent their hedges on upstreams that could not answer. Setting the time of day moved times that VMs compare. Change: coord/reach counts a domain as cut off when many requests to it stay without any answer for 300 ms; its upstreams are left out until a probe connects. VMs of a domain tell each other of a cut. A VM that is cut off from all other domains is not ready, and closes connections with its refusals.

--- a/cmd/gooseberrylane/cli/settings.go
+++ b/cmd/gooseberrylane/cli/settings.go
@@ -12,12 +12,13 @@
 
 func (a *app) settingsCommand() *ffcli.Command {
 	flags := a.flagSet("check")
+	source := flags.String("source", "", "`name` of the source that translates a file of another format")
 	check := a.command("check", "gooseberrylane settings check [flags] FILE", "check the settings of a daemon and list all problems", 0, flags,
 		func(_ context.Context, args []string) error {
 			if err := arguments(args, "FILE"); err != nil {
 				return err
 			}
-			return a.checkSettings(args[0])
+			return a.checkSettings(args[0], *source)
 		})
 	return a.group("settings", "gooseberrylane settings check [flags] FILE", "work with the settings of daemons", []*ffcli.Command{check})
 }
@@ -28,11 +29,20 @@
 	Plugins []string `json:"plugins"`
 }
 
-func (a *app) checkSettings(path string) error {
+func (a *app) checkSettings(path, source string) error {
 	raw, err := a.readFile(path)
 	if err != nil {
 		return err
 	}
+	if source != "" {
+		found, err := kernel.FindSource(source)
+		if err != nil {
+			return err
+		}
+		if raw, err = found.Translate(raw); err != nil {
+			return err
+		}
+	}
 	loaded, err := kernel.Load(kernel.Linked(), raw)
 	if err != nil {
 		return err
--- a/cmd/gooseberrylane/main.go
+++ b/cmd/gooseberrylane/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"gooseberrylane.example/cmd/gooseberrylane/cli"
+	_ "gooseberrylane.example/platform"
 	_ "gooseberrylane.example/plugins/standard"
 )
 
--- a/coord/catalog/staleness.go
+++ b/coord/catalog/staleness.go
@@ -34,7 +34,7 @@
 // HistoryGone tells that the store dropped its history.
 func (s *Staleness) HistoryGone() { s.checked, s.gone = false, true }
 
-// Doubt asks for a check: a watch broke off, which it also does when the store drops its history, or told nothing new.
+// Doubt asks for a check: a watch broke off, which it also does when the store drops its history.
 func (s *Staleness) Doubt() { s.checked = false }
 
 // AllowStale reports whether stale reads are as new as others, as far as is known.
--- /dev/null
+++ b/coord/reach/reach_test.go
@@ -0,0 +1,46 @@
+package reach_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/coord/reach"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestSilentDomainIsLost guards against requests that go on waiting for a failure domain that is cut off.
+func TestSilentDomainIsLost(t *testing.T) {
+	c := qt.New(t)
+	tracker := reach.New(reach.Settings{SilentMS: 300, Asked: 6})
+	for i := range 6 {
+		tracker.Asked(start.Add(time.Duration(i)*time.Millisecond), "b")
+	}
+	c.Assert(tracker.Lost(start.Add(299*time.Millisecond), "b"), qt.IsFalse)
+	c.Assert(tracker.Lost(start.Add(301*time.Millisecond), "b"), qt.IsTrue)
+	c.Assert(tracker.Lost(start.Add(time.Hour), "c"), qt.IsFalse)
+	tracker.Answered("b")
+	c.Assert(tracker.Lost(start.Add(time.Hour), "b"), qt.IsFalse)
+	tracker.MarkLost(start, "b")
+	c.Assert(tracker.Lost(start, "b"), qt.IsTrue)
+}
+
+// TestFewSilentUpstreamsAreNoCut guards against a domain that counts as cut off because of one slow upstream.
+func TestFewSilentUpstreamsAreNoCut(t *testing.T) {
+	c := qt.New(t)
+	tracker := reach.New(reach.Settings{SilentMS: 300, Asked: 6})
+	for range 5 {
+		tracker.Asked(start, "b")
+	}
+	c.Assert(tracker.Lost(start.Add(time.Hour), "b"), qt.IsFalse)
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		tracker.Asked(now, "c")
+		if i%2 == 0 {
+			tracker.Answered("c")
+		}
+		c.Assert(tracker.Lost(now, "c"), qt.IsFalse)
+	}
+}
--- a/kernel/kinds/gateway.go
+++ b/kernel/kinds/gateway.go
@@ -22,6 +22,8 @@
 	RouterKind kernel.Kind = "router"
 	// DelegateKind plug-ins hand gathered requests to other VMs and provide Delegate.
 	DelegateKind kernel.Kind = "delegate"
+	// ReachKind plug-ins tell which failure domains answer and provide Reach.
+	ReachKind kernel.Kind = "reach"
 	// UpstreamClientKind plug-ins send requests to registered upstreams and provide UpstreamClient.
 	UpstreamClientKind kernel.Kind = "upstream_client"
 )
@@ -124,6 +126,17 @@
 	Confirmed <-chan struct{}
 }
 
+// Reach tells which failure domains answer. It is safe for concurrent use and does not block.
+type Reach interface {
+	// Asked notes a request to an upstream of a failure domain, Answered any sign of life from it.
+	Asked(domain core.FailureDomain)
+	Answered(domain core.FailureDomain)
+	// Lost reports whether a failure domain is cut off from this VM.
+	Lost(domain core.FailureDomain) bool
+	// Isolated reports whether all other failure domains with upstreams are cut off from this VM.
+	Isolated() bool
+}
+
 // Catalog keeps routes and registered upstreams in the view up to date.
 type Catalog interface {
 	// Doubt tells that an upstream answered that it is not the one that the registered address belongs to.
--- a/kernel/source.go
+++ b/kernel/source.go
@@ -11,11 +11,14 @@
 	Now() time.Time
 }
 
-// SystemClock is the clock of the operating system.
+// SystemClock is the clock of the operating system as it was at the start of the process, and from then on its steady
+// clock: times that are compared do not change when the time of day is set.
 type SystemClock struct{}
 
+var processStart = time.Now()
+
 // Now implements Clock.
-func (SystemClock) Now() time.Time { return time.Now() }
+func (SystemClock) Now() time.Time { return processStart.Add(time.Since(processStart)) }
 
 // Random hands out independent random generators. It is safe for concurrent use and takes no lock.
 type Random struct {
--- a/plugins/catalog/store/store.go
+++ b/plugins/catalog/store/store.go
@@ -152,13 +152,7 @@
 				break
 			}
 			before := cursor
-			cursor, err = watch(ctx, cursor)
-			switch {
-			case err != nil:
-			case cursor == before:
-				// Upstreams write all the time, so a position that stands still may be that of old data.
-				f.doubtStaleReads()
-			default:
+			if cursor, err = watch(ctx, cursor); err == nil && cursor != before {
 				pause(ctx, gather)
 			}
 		}
--- a/plugins/frontend/gateway/gateway.go
+++ b/plugins/frontend/gateway/gateway.go
@@ -60,6 +60,7 @@
 	Log    *slog.Logger
 	Wire   kinds.Wire
 	Router kinds.Router
+	Reach  kinds.Reach
 }
 
 type gateway struct {
@@ -148,7 +149,8 @@
 }
 
 func (g *gateway) tellReady(c *gin.Context) {
-	if g.stopping.Load() || !g.State.Load().Ready {
+	// A VM that is cut off from all other failure domains cannot answer for their shards; those of other domains can.
+	if g.stopping.Load() || !g.State.Load().Ready || g.Reach.Isolated() {
 		c.Status(http.StatusServiceUnavailable)
 		return
 	}
--- a/plugins/frontend/gateway/handle.go
+++ b/plugins/frontend/gateway/handle.go
@@ -24,7 +24,9 @@
 		return
 	}
 	answer := g.Router.Route(c.Request.Context(), request)
-	write(c, g.closing.Load(), answer)
+	// A refused caller on a new connection may reach a VM of another failure domain.
+	moveOn := answer.Status == http.StatusServiceUnavailable && g.Reach.Isolated()
+	write(c, g.closing.Load() || moveOn, answer)
 }
 
 func statusOf(code core.Code) int {
--- a/plugins/router/fanout/router.go
+++ b/plugins/router/fanout/router.go
@@ -81,6 +81,7 @@
 	Client   kinds.UpstreamClient
 	Catalog  kinds.Catalog
 	Delegate kinds.Delegate
+	Reach    kinds.Reach
 	Selector query.Selector
 }
 
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -152,10 +152,14 @@
 // attempt sends a leg to one upstream and reports the end.
 func (r *run) attempt(ctx context.Context, s fanout.Send, state *core.UpstreamState) {
 	started := r.Clock.Now()
+	r.Reach.Asked(s.Upstream.Domain)
 	reply := r.Client.Send(ctx, kinds.Attempt{Request: r.request, To: s.Upstream, Deadline: r.plan.Times.GiveUp, Once: !r.plan.Route.Idempotent})
 	if reply.Code == core.CodeCancelled && context.Cause(ctx) == errOutlasted {
 		reply.Code = core.CodeDeadlineExceeded
 	}
+	if reply.Status != 0 {
+		r.Reach.Answered(s.Upstream.Domain)
+	}
 	now := r.Clock.Now()
 	state.InFlight.Add(-1)
 	r.policies.observe(now, r.plan.Route, r.plan.Legs[s.Leg].Group, s.Upstream.ID, &reply, now.Sub(started))
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -24,6 +24,8 @@
 	_ "gooseberrylane.example/plugins/metrics/expvar"
 	_ "gooseberrylane.example/plugins/peer/websocket"
 	_ "gooseberrylane.example/plugins/platform/http"
+	_ "gooseberrylane.example/plugins/reach/none"
+	_ "gooseberrylane.example/plugins/reach/peers"
 	_ "gooseberrylane.example/plugins/records/none"
 	_ "gooseberrylane.example/plugins/records/platform"
 	_ "gooseberrylane.example/plugins/report/burn"
