--- a/plugins/client/http1/exchange_bench_test.go
+++ b/plugins/client/http1/exchange_bench_test.go
@@ -56,7 +56,7 @@
 func answerAll(c net.Conn) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
-	answer := []byte("HTTP/1.1 200 OK\r\nContent-Length: 160\r\nGooseberrylane-Server-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nDate: x\r\nKeep-Alive: timeout=5\r\n\r\n" + string(make([]byte, 160)))
+	answer := []byte("HTTP/1.1 200 OK\r\nContent-Length: 160\r\nX-Proof: 3e1b.07.5a2.600.0.c9f2a4d1\r\nDate: x\r\nKeep-Alive: timeout=5\r\n\r\n" + string(make([]byte, 160)))
 	for {
 		for {
 			line, err := reader.ReadSlice('\n')
--- a/plugins/router/fanout/answer.go
+++ b/plugins/router/fanout/answer.go
@@ -130,5 +130,20 @@
 func (r *run) logEnd(verdict string, status int, after time.Duration) {
 	covered, all := r.machine.Covered()
 	r.Log.Info("request_ended", "request", string(r.request.ID), "route", string(r.plan.Route.Name), "table", uint64(r.view.Routes.Version),
-		"verdict", verdict, "status", status, "covered", covered, "legs", all, "took_ms", millisecondsSince(r.request.Arrived), "retry_after_ms", after.Milliseconds())
+		"verdict", verdict, "status", status, "covered", covered, "legs", all, "took_ms", millisecondsSince(r.request.Arrived), "retry_after_ms", after.Milliseconds(),
+		"missing", r.missing())
+}
+
+// mostMissingLogged bounds the services that one line names.
+const mostMissingLogged = 12
+
+// missing returns services without a part in the answer.
+func (r *run) missing() []string {
+	services := []string{}
+	for leg, part := range r.parts {
+		if part == nil && len(services) < mostMissingLogged {
+			services = append(services, string(r.plan.Legs[leg].Service))
+		}
+	}
+	return services
 }
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -28,8 +28,9 @@
 
 // end is the end of one attempt.
 type end struct {
-	leg   int
-	reply core.Reply
+	leg      int
+	upstream core.UpstreamID
+	reply    core.Reply
 }
 
 func newRun(r *router, t task, plan fanout.Plan) *run {
@@ -97,7 +98,7 @@
 			r.failure = &e.reply
 		}
 		r.Log.Info("attempt_failed", "request", string(r.request.ID), "service", string(r.plan.Legs[e.leg].Service),
-			"code", e.reply.Code.String(), "status", e.reply.Status, "outcome", e.reply.Outcome.String(), "error", e.reply.Detail)
+			"upstream", string(e.upstream), "code", e.reply.Code.String(), "status", e.reply.Status, "outcome", e.reply.Outcome.String(), "error", e.reply.Detail)
 	case r.parts[e.leg] == nil:
 		r.parts[e.leg] = &e.reply
 	}
@@ -163,5 +164,5 @@
 	now := r.Clock.Now()
 	state.InFlight.Add(-1)
 	r.policies.observe(now, r.plan.Route, r.plan.Legs[s.Leg].Group, s.Upstream.ID, &reply, now.Sub(started))
-	r.ended <- end{s.Leg, reply}
+	r.ended <- end{s.Leg, s.Upstream.ID, reply}
 }
