Add a soak that injects faults into real daemons, and ask again for lost answers

Change: test/soak runs daemons as processes with proxies to the store and the upstreams, plays overlapping faults of eleven kinds from a seed, and checks proofs, merged records, coverage, at most once, truthful refusals, attempts, drains, tables and recovery. A leg whose upstreams lost their answers is sent again to one of them, at most twice, within the budget. Upstreams that fail often are expected to take longer.

--- a/coord/fanout/machine.go
+++ b/coord/fanout/machine.go
@@ -24,10 +24,11 @@
 
 type legState struct {
 	tried []core.UpstreamID
-	// sent counts the upstreams that got the leg, open those that have not ended.
-	sent, open int
-	ended      bool
-	hedgeAt    time.Time
+	// sent counts the upstreams that got the leg, open the sends that have not ended, repeats those to an upstream that
+	// had the leg before.
+	sent, open, repeats int
+	ended               bool
+	hedgeAt             time.Time
 }
 
 // New returns the machine of a plan.
@@ -92,12 +93,44 @@
 	return m.plan.Route.Idempotent && reply.Code != core.CodeBadRequest
 }
 
-// retry sends a leg to another upstream. A connection that could not be opened cost no upstream anything.
+// MaxRepeats bounds the sends of a leg to upstreams that had it before.
+const MaxRepeats = 2
+
+// retry sends a leg to another upstream. A connection that could not be opened cost no upstream anything. When the route
+// allows no other upstream, one that lost its answer before is asked again.
 func (m *Machine) retry(now time.Time, leg int, reply *core.Reply) bool {
-	if reply.Code != core.CodeConnectFailed && !m.mayAskAgain(now, leg) {
+	state := &m.legs[leg]
+	switch {
+	case reply.Code == core.CodeConnectFailed:
+		return m.send(now, leg, Retry)
+	case state.sent < m.plan.Attempts && m.hasUntried(leg):
+		return m.mayAskAgain(now, leg) && m.send(now, leg, Retry)
+	case reply.Outcome == core.OutcomeNotRun || !m.plan.Route.Idempotent || state.repeats >= MaxRepeats:
 		return false
+	default:
+		return m.policies.AllowExtra(now, m.plan.Legs[leg].Service) && m.repeat(now, leg)
 	}
-	return m.send(now, leg, Retry)
+}
+
+// repeat sends a leg again to an upstream that had it, the one that failed last only if there is no other.
+func (m *Machine) repeat(now time.Time, leg int) bool {
+	state := &m.legs[leg]
+	group := m.plan.Legs[leg].Group
+	last := state.tried[len(state.tried)-1]
+	excluded := make([]core.UpstreamID, 0, len(group.Upstreams))
+	for i := range group.Upstreams {
+		if id := group.Upstreams[i].ID; !slices.Contains(state.tried, id) || (id == last && len(state.tried) > 1) {
+			excluded = append(excluded, id)
+		}
+	}
+	upstream := m.policies.Choose(now, group, excluded)
+	if upstream == nil {
+		return false
+	}
+	state.repeats++
+	state.open++
+	m.sends = append(m.sends, Send{Leg: leg, Upstream: upstream, Reason: Retry})
+	return true
 }
 
 // mayAskAgain reports whether the limits allow one more upstream for a leg, and spends from the budget.
--- a/coord/selection/selection.go
+++ b/coord/selection/selection.go
@@ -43,6 +43,9 @@
 	shedPenalty = 4
 	// coldPenalty multiplies the expected latency of a replica that says that it is still warming up.
 	coldPenalty = 2
+	// failurePenalty multiplies the share of failed attempts: a replica that fails a quarter of them is expected to take
+	// three times as long, with the attempts that replace the failed ones.
+	failurePenalty = 8
 	// assumedLatency is used for replicas of which no latency is known.
 	assumedLatency = float64(time.Millisecond)
 )
@@ -179,6 +182,7 @@
 	if p.isRecent(now, c.State.LastShed.Load()) || p.isRecent(now, c.State.LastLate.Load()) {
 		score *= shedPenalty
 	}
+	score *= 1 + failurePenalty*c.State.FailureShare()
 	if now.UnixNano() < c.State.ColdUntil.Load() {
 		score *= coldPenalty
 	}
--- a/core/view.go
+++ b/core/view.go
@@ -131,7 +131,9 @@
 	// and the last time that another upstream was asked because this one had not answered.
 	LastChosen, LastShed, LastLate atomic.Int64
 	latency                        atomic.Uint64
-	window                         atomic.Pointer[Window]
+	// failures is the moving average of failed attempts, as the bits of a float64.
+	failures atomic.Uint64
+	window   atomic.Pointer[Window]
 }
 
 // Latency returns the moving average of the latency, 0 when nothing was observed.
@@ -157,6 +159,27 @@
 	}
 }
 
+// failureWeight is the weight of a new attempt in the moving average of failures.
+const failureWeight = 0.15
+
+// ObserveFailure adds one attempt to the moving average of failures.
+func (s *UpstreamState) ObserveFailure(failed bool) {
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	for {
+		old := s.failures.Load()
+		mean := math.Float64frombits(old)
+		if s.failures.CompareAndSwap(old, math.Float64bits(mean+failureWeight*(x-mean))) {
+			return
+		}
+	}
+}
+
+// FailureShare returns the moving average of failed attempts, between 0 and 1.
+func (s *UpstreamState) FailureShare() float64 { return math.Float64frombits(s.failures.Load()) }
+
 // ResetLatency forgets the moving average, so that it is learned anew.
 func (s *UpstreamState) ResetLatency() { s.latency.Store(0) }
 
--- a/plugins/router/fanout/policies.go
+++ b/plugins/router/fanout/policies.go
@@ -116,6 +116,7 @@
 	}
 	switch reply.Code {
 	case core.CodeOK:
+		state.ObserveFailure(false)
 		state.ObserveLatency(took)
 		p.latency(route.Name).Observe(p.settings.HedgeQuantile, took)
 	case core.CodeShed:
@@ -124,9 +125,11 @@
 	case core.CodeDeadlineExceeded:
 		// The upstream needs at least this long.
 		state.ObserveLatency(took)
+		state.ObserveFailure(true)
 		state.Failed.Add(1)
 	case core.CodeCancelled:
 	default:
+		state.ObserveFailure(true)
 		state.Failed.Add(1)
 	}
 	p.Selector.ObserveResult(now, view, leg, upstream, reply.Code)
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -42,12 +42,12 @@
 	}
 }
 
-// mostAttempts bounds the attempts of a plan: a leg never goes to the same upstream twice.
+// mostAttempts bounds the attempts of a plan: a leg goes to each upstream once, and a few times again.
 func mostAttempts(plan fanout.Plan) int {
 	n := 0
 	for i := range plan.Legs {
 		if group := plan.Legs[i].Group; group != nil {
-			n += len(group.Upstreams)
+			n += len(group.Upstreams) + fanout.MaxRepeats
 		}
 	}
 	return n
--- /dev/null
+++ b/test/soak/faults.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"gooseberrylane.example/platform/standin"
+	"gooseberrylane.example/test/faultproxy"
+)
+
+const (
+	// meanGap is the mean time between the starts of two faults; faults last up to maxFault, so several overlap.
+	meanGap  = 400 * time.Millisecond
+	minFault = 200 * time.Millisecond
+	maxFault = 2500 * time.Millisecond
+	// leaveTime is how long an upstream that said that it leaves goes on serving.
+	leaveTime = 3 * time.Second
+)
+
+// fault starts one disruption, holds it for a time and ends it.
+type fault struct {
+	name string
+	play func(w *world, random *rand.Rand, hold func())
+}
+
+var faults = []fault{
+	{"kill a daemon", func(w *world, random *rand.Rand, hold func()) { w.restart(random, syscall.SIGKILL, hold) }},
+	{"stop a daemon", func(w *world, random *rand.Rand, hold func()) { w.restart(random, syscall.SIGTERM, hold) }},
+	{"pause a daemon", func(w *world, random *rand.Rand, hold func()) {
+		v := pick(random, w.vms)
+		v.signal(syscall.SIGSTOP)
+		hold()
+		v.signal(syscall.SIGCONT)
+	}},
+	{"hang up a daemon", func(w *world, random *rand.Rand, _ func()) { pick(random, w.vms).signal(syscall.SIGHUP) }},
+	{"upstream misbehaves", func(w *world, random *rand.Rand, hold func()) {
+		u := pick(random, w.replicas())
+		share := 0.2 + 0.8*random.Float64()
+		b := pick(random, []standin.Behavior{
+			{Silent: true}, {Lost: true}, {Truncated: true}, {Extra: true}, {NotExecuted: true}, {Delay: 100 * time.Millisecond}, {Status: 500},
+		})
+		u.SetBehavior(func(*http.Request) standin.Behavior {
+			if rand.Float64() < share {
+				return b
+			}
+			return standin.Behavior{}
+		})
+		hold()
+		u.SetBehavior(nil)
+	}},
+	{"upstream link", func(w *world, random *rand.Rand, hold func()) {
+		disturb(pick(random, w.replicas()).proxy, random, hold)
+	}},
+	{"store link of a daemon", func(w *world, random *rand.Rand, hold func()) { disturb(pick(random, w.vms).store, random, hold) }},
+	{"store refuses", func(w *world, random *rand.Rand, hold func()) {
+		status := pick(random, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests})
+		w.store.SetFault(func(*http.Request) int { return status })
+		hold()
+		w.store.SetFault(nil)
+	}},
+	{"store drops its history", func(w *world, _ *rand.Rand, hold func()) {
+		w.store.FreezeStale()
+		w.store.DropHistory()
+		hold()
+		w.store.ThawStale()
+	}},
+	{"new table", func(w *world, _ *rand.Rand, _ func()) { w.putTable() }},
+	{"upstream is replaced", func(w *world, random *rand.Rand, _ func()) { w.replace(pick(random, w.replicas())) }},
+}
+
+func pick[T any](random *rand.Rand, from []T) T { return from[random.IntN(len(from))] }
+
+// disturb treats the connections of a proxy badly for a time.
+func disturb(p *faultproxy.Proxy, random *rand.Rand, hold func()) {
+	switch random.IntN(3) {
+	case 0:
+		p.Silence()
+	case 1:
+		p.SetRule(faultproxy.Rule{Reset: true})
+	default:
+		p.SetRule(pick(random, []faultproxy.Rule{{Delay: 60 * time.Millisecond}, {DropUp: true}, {DropDown: true}, {DropUp: true, DropDown: true}}))
+	}
+	hold()
+	p.SetRule(faultproxy.Rule{})
+}
+
+// restart ends the process of a VM by a signal and starts it again.
+func (w *world) restart(random *rand.Rand, signal syscall.Signal, hold func()) {
+	v := pick(random, w.vms)
+	v.signal(syscall.SIGCONT)
+	v.signal(signal)
+	v.wait()
+	hold()
+	if err := w.start(v); err != nil {
+		w.check.broke("start", "%s does not start again: %v", v.boot.Name, err)
+	}
+}
+
+// replace takes an upstream away in order: another one starts, it says that it leaves, and ends later.
+func (w *world) replace(old *replica) {
+	w.mu.Lock()
+	leaving := !old.leftAt.IsZero()
+	if !leaving {
+		old.leftAt = time.Now()
+	}
+	w.mu.Unlock()
+	if leaving {
+		return
+	}
+	if err := w.addReplica(old.service, old.domain); err != nil {
+		w.check.broke("start", "no port for an upstream: %v", err)
+		return
+	}
+	w.store.PutEntry(old.ID, old.entry("draining"))
+	w.mu.Lock()
+	old.leftAt = time.Now()
+	w.mu.Unlock()
+	time.Sleep(leaveTime)
+	w.store.RemoveEntry(old.ID)
+	old.Close()
+}
+
+// play starts faults until ctx ends and waits for the end of the last one.
+func (w *world) play(ctx context.Context) (played map[string]int) {
+	played = make(map[string]int)
+	var running sync.WaitGroup
+	defer running.Wait()
+	// Faults of one kind on one thing exclude each other, so that the end of one is not undone by another.
+	var locks [16]sync.Mutex
+	for {
+		gap := time.Duration(w.random.ExpFloat64() * float64(meanGap))
+		select {
+		case <-time.After(gap):
+		case <-ctx.Done():
+			return played
+		}
+		kind := w.random.IntN(len(faults))
+		f := faults[kind]
+		own := rand.New(rand.NewPCG(w.random.Uint64(), w.random.Uint64()))
+		length := minFault + time.Duration(w.random.Int64N(int64(maxFault-minFault)))
+		// Kill, stop and pause act on the same processes.
+		group := max(kind, 2)
+		if !locks[group].TryLock() {
+			continue
+		}
+		played[f.name]++
+		running.Go(func() {
+			defer locks[group].Unlock()
+			f.play(w, own, func() { time.Sleep(length) })
+		})
+	}
+}
+
+// String lists how often each fault was played.
+func (r result) String() string {
+	text := fmt.Sprintf("seed %d: %d requests, %d served, %d faults %v", r.seed, r.sent, r.served, r.faults(), r.played)
+	for _, b := range r.broken {
+		text += "\n  BROKEN " + b
+	}
+	if len(r.broken) > 0 {
+		text += "\n  logs: " + r.logs
+	}
+	return text
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gooseberrylane.example/test/harness"
+)
+
+func TestMain(m *testing.M) { harness.Main(m) }
+
+// TestShortSoak guards against broken promises under overlapping faults, with a fixed seed and those that failed before.
+func TestShortSoak(t *testing.T) {
+	c := qt.New(t)
+	daemon := harness.Daemon(c)
+	for _, seed := range append([]uint64{1}, failedBefore...) {
+		r, err := soak(options{seed: seed, length: 6 * time.Second, vms: 3, callers: 4, daemon: daemon})
+		c.Assert(err, qt.IsNil)
+		c.Check(r.broken, qt.HasLen, 0, qt.Commentf("%v", r))
+		c.Check(r.served > 0, qt.IsTrue)
+	}
+}
+
+// failedBefore are the seeds that broke a promise once, each with its cause.
+var failedBefore = []uint64{}
