Drop upstreams that left while the store refused this VM in time

An upstream that left at 12.16 s got a request at 15.58 s. Ruled out: stale reads, the list is current after a failure. Change: pauses are at most 1.5 s, the grace time is 2.2 s and begins with the first answer of the store to either loop.

--- a/plugins/catalog/store/store.go
+++ b/plugins/catalog/store/store.go
@@ -43,9 +43,10 @@
 	defaultGatherMS         = 300
 	defaultUpstreamGatherMS = 800
 	defaultRetryMS          = 150
-	defaultMaxRetryMS       = 2000
-	// defaultGraceMS covers the two seconds within which live upstreams register again after an outage of the store.
-	defaultGraceMS = 2500
+	defaultMaxRetryMS       = 1000
+	// defaultGraceMS covers the two seconds within which live upstreams register again after an outage of the store. With
+	// the longest pause before it, it ends within the 4 s after which a VM has to be up to date.
+	defaultGraceMS = 2200
 )
 
 // Settings of the plug-in.
@@ -63,10 +64,10 @@
 	AllowStale bool `json:"allow_stale"`
 	// RetryMS is the mean pause after a failed call, in milliseconds; it doubles up to MaxRetryMS. Default 150.
 	RetryMS int64 `json:"retry_ms" validate:"gte=1,lte=60000"`
-	// MaxRetryMS bounds the mean pause, in milliseconds. Default 2000.
+	// MaxRetryMS bounds the mean pause, in milliseconds. Default 1000.
 	MaxRetryMS int64 `json:"max_retry_ms" validate:"gte=1,lte=60000"`
 	// GraceMS is how long after the return of the store an upstream that vanished is still used, in milliseconds.
-	// Default 2500.
+	// Default 2200.
 	GraceMS int64 `json:"grace_ms" validate:"gte=0,lte=60000"`
 }
 
@@ -178,6 +179,11 @@
 		return
 	}
 	now := l.Clock.Now()
+	if l.away.Swap(false) {
+		l.mu.Lock()
+		l.directory.Regained(now)
+		l.mu.Unlock()
+	}
 	l.Log.Info("store_regained", "what", l.what, "failed_calls", l.failedInRow, "away_ms", now.Sub(l.lostAt).Milliseconds())
 	l.failedInRow = 0
 }
@@ -317,6 +323,7 @@
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
 	if f.away.Swap(false) {
+		// The other loop has had no answer yet.
 		f.directory.Regained(now)
 	}
 	changed := f.directory.Replace(now, entries) || !f.listed
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -144,8 +144,9 @@
 		return err
 	}
 	v := &vm{store: proxy}
-	// Each VM has a loopback address of its own, because the port of the metrics is the same everywhere.
-	ip := fmt.Sprintf("127.0.9.%d", i+1)
+	// Each VM has a loopback address of its own, also beside other runs, because the port of the metrics is the same
+	// everywhere.
+	ip := fmt.Sprintf("127.1.%d.%d", os.Getpid()%256, i+1)
 	var ports [3]string
 	for p := range ports {
 		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
