--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	// meanGap is the mean time between the starts of two faults; faults last up to maxFault, so several overlap.
-	meanGap  = 400 * time.Millisecond
+	// meanGap is the mean time between the starts of two faults; faults last up to maxFault, so many overlap.
+	meanGap  = 120 * time.Millisecond
 	minFault = 200 * time.Millisecond
 	maxFault = 2500 * time.Millisecond
-	// leaveTime is how long an upstream that said that it leaves goes on serving.
-	leaveTime = 3 * time.Second
+	// leaveTime is how long an upstream that said that it leaves goes on serving. It is longer than lateDrain, so that
+	// requests that come too late are seen.
+	leaveTime = lateDrain + 2*time.Second
 )
 
 // fault starts one disruption, holds it for a time and ends it.
@@ -33,25 +34,35 @@
 	{"stop a daemon", func(w *world, random *rand.Rand, hold func()) { w.restart(random, syscall.SIGTERM, hold) }},
 	{"pause a daemon", func(w *world, random *rand.Rand, hold func()) {
 		v := pick(random, w.vms)
+		if !v.disturbed.TryLock() {
+			return
+		}
+		defer v.disturbed.Unlock()
 		v.signal(syscall.SIGSTOP)
 		hold()
 		v.signal(syscall.SIGCONT)
 	}},
 	{"hang up a daemon", func(w *world, random *rand.Rand, _ func()) { pick(random, w.vms).signal(syscall.SIGHUP) }},
 	{"upstream misbehaves", func(w *world, random *rand.Rand, hold func()) {
-		u := pick(random, w.replicas())
+		chosen := pick(random, w.replicas())
+		wholeService := random.IntN(2) == 0
 		share := 0.2 + 0.8*random.Float64()
 		b := pick(random, []standin.Behavior{
 			{Silent: true}, {Lost: true}, {Truncated: true}, {Extra: true}, {NotExecuted: true}, {Delay: 100 * time.Millisecond}, {Status: 500},
 		})
-		u.SetBehavior(func(*http.Request) standin.Behavior {
-			if rand.Float64() < share {
-				return b
+		for _, u := range w.replicas() {
+			if u != chosen && (!wholeService || u.service != chosen.service) {
+				continue
 			}
-			return standin.Behavior{}
-		})
+			u.SetBehavior(func(*http.Request) standin.Behavior {
+				if rand.Float64() < share {
+					return b
+				}
+				return standin.Behavior{}
+			})
+			defer u.SetBehavior(nil)
+		}
 		hold()
-		u.SetBehavior(nil)
 	}},
 	{"upstream link", func(w *world, random *rand.Rand, hold func()) {
 		disturb(pick(random, w.replicas()).proxy, random, hold)
@@ -92,7 +103,10 @@
 // restart ends the process of a VM by a signal and starts it again.
 func (w *world) restart(random *rand.Rand, signal syscall.Signal, hold func()) {
 	v := pick(random, w.vms)
-	v.signal(syscall.SIGCONT)
+	if !v.disturbed.TryLock() {
+		return
+	}
+	defer v.disturbed.Unlock()
 	v.signal(signal)
 	v.wait()
 	hold()
@@ -130,8 +144,6 @@
 	played = make(map[string]int)
 	var running sync.WaitGroup
 	defer running.Wait()
-	// Faults of one kind on one thing exclude each other, so that the end of one is not undone by another.
-	var locks [16]sync.Mutex
 	for {
 		gap := time.Duration(w.random.ExpFloat64() * float64(meanGap))
 		select {
@@ -139,20 +151,11 @@
 		case <-ctx.Done():
 			return played
 		}
-		kind := w.random.IntN(len(faults))
-		f := faults[kind]
+		f := pick(w.random, faults)
 		own := rand.New(rand.NewPCG(w.random.Uint64(), w.random.Uint64()))
 		length := minFault + time.Duration(w.random.Int64N(int64(maxFault-minFault)))
-		// Kill, stop and pause act on the same processes.
-		group := max(kind, 2)
-		if !locks[group].TryLock() {
-			continue
-		}
 		played[f.name]++
-		running.Go(func() {
-			defer locks[group].Unlock()
-			f.play(w, own, func() { time.Sleep(length) })
-		})
+		running.Go(func() { f.play(w, own, func() { time.Sleep(length) }) })
 	}
 }
 
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -24,7 +24,7 @@
 	daemon, logs string
 }
 
-// services are the shards and the service of single requests; each has replicas in two of the failure domains.
+// services are the shards and the service of single requests; each has a replica in each failure domain.
 var (
 	services = []string{"shard1", "shard2", "shard3", "shard4", "shard5", "single"}
 	domains  = []string{"zone-a", "zone-b", "zone-c"}
@@ -61,9 +61,11 @@
 type vm struct {
 	boot  standin.Boot
 	store *faultproxy.Proxy
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	log   *os.File
+	// disturbed is held while the process is paused, or ended and not started again.
+	disturbed sync.Mutex
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	log       *os.File
 	// starts counts process starts, so that callers know which incarnation answered.
 	starts atomic.Int64
 }
@@ -81,7 +83,7 @@
 		}
 	}
 	for i, service := range services {
-		for r := range 2 {
+		for r := range domains {
 			if err := w.addReplica(service, domains[(i+r)%len(domains)]); err != nil {
 				return nil, err
 			}
