--- a/core/code.go
+++ b/core/code.go
@@ -1,6 +1,9 @@
 package core
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // Code is a numbered result code. Codes are stable: a number is never reused for another meaning.
 type Code int
@@ -196,3 +199,16 @@
 	}
 	return text
 }
+
+// CodeOf returns the code of an error: CodeOK for nil, CodeInternal for an error without one.
+func CodeOf(err error) Code {
+	var coded *Error
+	switch {
+	case err == nil:
+		return CodeOK
+	case errors.As(err, &coded):
+		return coded.Code
+	default:
+		return CodeInternal
+	}
+}
--- a/kernel/source.go
+++ b/kernel/source.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -38,3 +39,13 @@
 func (r *Random) Generator() *rand.Rand {
 	return rand.New(rand.NewPCG(r.seed, r.counter.Add(1)))
 }
+
+// Pause waits for a time or until ctx ends.
+func Pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/plugins/catalog/store/store.go
+++ b/plugins/catalog/store/store.go
@@ -3,9 +3,7 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,105 +136,9 @@
 	return nil
 }
 
-// follow lists once and then watches. After a failed watch it lists again, because the watch may have missed changes.
-func (f *follower) follow(ctx context.Context, what string, gather time.Duration, list func(context.Context) (kinds.Cursor, error), watch func(context.Context, kinds.Cursor) (kinds.Cursor, error)) {
-	link := &link{follower: f, what: what, random: f.Random.Generator()}
-	for ctx.Err() == nil {
-		stale := f.allowStaleList()
-		cursor, err := list(ctx)
-		f.lists.Add(1)
-		for err == nil {
-			link.answered()
-			f.checkStaleness(ctx)
-			if stale && !f.allowStaleList() {
-				// The list may lack what the store no longer tells in a watch.
-				break
-			}
-			before := cursor
-			if cursor, err = watch(ctx, cursor); err == nil && cursor != before {
-				pause(ctx, gather)
-			}
-		}
-		if err != nil {
-			link.failed(ctx, err)
-		}
-	}
-}
-
-// link is what one loop knows of its connection to the store.
-type link struct {
-	*follower
-	what   string
-	random *rand.Rand
-	// failedInRow counts calls without an answer; lostAt is the time of the first of them.
-	failedInRow int
-	lostAt      time.Time
-}
-
-// answered notes that the store answers.
-func (l *link) answered() {
-	if l.failedInRow == 0 {
-		return
-	}
-	now := l.Clock.Now()
-	if l.away.Swap(false) {
-		l.mu.Lock()
-		l.directory.Regained(now)
-		l.mu.Unlock()
-	}
-	l.Log.Info("store_regained", "what", l.what, "failed_calls", l.failedInRow, "away_ms", now.Sub(l.lostAt).Milliseconds())
-	l.failedInRow = 0
-}
-
-// failed waits before the next list. A history that is gone is no failure of the store, but lists of all VMs at once are
-// spread out all the same.
-func (l *link) failed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	l.failures.Add(1)
-	length := millis(l.settings.RetryMS)
-	if codeOf(err) == core.CodeHistoryGone {
-		l.Log.Info("store_history_gone", "what", l.what)
-		l.checking.Lock()
-		l.staleness.HistoryGone()
-		l.checking.Unlock()
-	} else {
-		l.doubtStaleReads()
-		if l.failedInRow == 0 {
-			l.lostAt = l.Clock.Now()
-			l.Log.Warn("store_lost", "what", l.what, "error", err.Error())
-		}
-		for range min(l.failedInRow, 10) {
-			length = min(2*length, millis(l.settings.MaxRetryMS))
-		}
-		l.failedInRow++
-		l.away.Store(true)
-	}
-	// The pause is spread by half of itself in both directions, so that VMs do not come back together.
-	pause(ctx, time.Duration((0.5+l.random.Float64())*float64(length)))
-}
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-func codeOf(err error) core.Code {
-	var coded *core.Error
-	if errors.As(err, &coded) {
-		return coded.Code
-	}
-	return core.CodeInternal
-}
-
 func (f *follower) listRoutes(ctx context.Context) (kinds.Cursor, error) {
 	table, cursor, err := f.Store.Routes(ctx, f.allowStaleList())
-	if codeOf(err) == core.CodeNotFound {
+	if core.CodeOf(err) == core.CodeNotFound {
 		// No operator has written a table yet; the watch tells of the first.
 		return cursor, nil
 	}
@@ -246,52 +148,6 @@
 	return cursor, err
 }
 
-func (f *follower) watchOptions(after kinds.Cursor) kinds.WatchOptions {
-	f.checking.Lock()
-	defer f.checking.Unlock()
-	o := kinds.WatchOptions{After: after, Wait: millis(f.settings.WatchMS), AllowStale: f.settings.AllowStale && f.staleness.AllowStale()}
-	if f.settings.AllowStale && !o.AllowStale {
-		// The next check falls due while the store lags.
-		o.Wait = min(o.Wait, catalog.RecheckAfter)
-	}
-	return o
-}
-
-func (f *follower) allowStaleList() bool {
-	f.checking.Lock()
-	defer f.checking.Unlock()
-	return f.settings.AllowStale && f.staleness.AllowStaleList()
-}
-
-// doubtStaleReads makes the next watch wait for a check.
-func (f *follower) doubtStaleReads() {
-	f.checking.Lock()
-	defer f.checking.Unlock()
-	f.staleness.Doubt()
-}
-
-// checkStaleness compares a current and a stale read if that is due. When the check fails, watches ask for current data.
-func (f *follower) checkStaleness(ctx context.Context) {
-	f.checking.Lock()
-	defer f.checking.Unlock()
-	if !f.settings.AllowStale || !f.staleness.NeedsCheck(f.Clock.Now()) {
-		return
-	}
-	current, err := f.Store.Position(ctx, false)
-	if err != nil {
-		f.Log.Info("staleness_unknown", "error", err.Error())
-		return
-	}
-	pause(ctx, catalog.AcceptedLag)
-	stale, err := f.Store.Position(ctx, true)
-	if err != nil {
-		f.Log.Info("staleness_unknown", "error", err.Error())
-		return
-	}
-	f.staleness.Checked(f.Clock.Now(), uint64(current), uint64(stale))
-	f.Log.Info("staleness_checked", "current", uint64(current), "stale", uint64(stale), "allow_stale", f.staleness.AllowStale())
-}
-
 func (f *follower) watchRoutes(ctx context.Context, after kinds.Cursor) (kinds.Cursor, error) {
 	table, cursor, err := f.Store.WatchRoutes(ctx, f.watchOptions(after))
 	if err == nil && table != nil {
@@ -362,67 +218,6 @@
 	}
 }
 
-// update publishes the directory if it changed and plans the end of grace times. The caller holds mu.
-func (f *follower) update(now time.Time, changed bool, source string, entries int) {
-	expired, next := f.directory.Expire(now)
-	if !next.IsZero() {
-		f.expiry.Reset(next.Sub(now))
-	}
-	if !changed && !expired {
-		return
-	}
-	f.publish(nil)
-	f.Log.Info("upstreams_applied", "entries", f.directory.Len(), "changed_entries", entries, "source", source)
-}
-
-func (f *follower) expire() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.update(f.Clock.Now(), false, "grace_over", 0)
-}
-
-// publish puts the directory, and a table unless it is nil, in force. The caller holds mu.
-func (f *follower) publish(table *core.RouteTable) {
-	f.State.Update(func(v *core.View) {
-		if table != nil {
-			v.Routes = table
-		}
-		v.Registered = f.directory.Usable(v.Routes)
-		v.Upstreams = f.states(v.Upstreams, v.Registered)
-		v.Ready = v.Routes != nil && f.listed
-	})
-}
-
-// states returns the observed states of the usable upstreams. An upstream that started again is observed anew.
-func (f *follower) states(old core.Map[core.UpstreamID, *core.UpstreamState], registered *core.RegisteredUpstreams) core.Map[core.UpstreamID, *core.UpstreamState] {
-	edit := old.Edit()
-	seen := make(map[core.UpstreamID]bool)
-	for _, group := range registered.Groups {
-		for i := range group.Upstreams {
-			id := group.Upstreams[i].ID
-			seen[id] = true
-			incarnation, _ := f.directory.Incarnation(id)
-			state, known := edit.Get(id)
-			before := f.incarnations[id]
-			if !known || before.Address != incarnation.Address || before.Born != incarnation.Born {
-				state = &core.UpstreamState{}
-				edit.Set(id, state)
-			}
-			state.ColdUntil.Store(incarnation.ColdUntil.UnixNano())
-			f.incarnations[id] = incarnation
-		}
-	}
-	for id := range old.All() {
-		if !seen[id] {
-			// Requests that loaded an earlier view must not choose it any more.
-			old.Value(id).DrainSince.Store(f.Clock.Now().UnixNano())
-			edit.Delete(id)
-			delete(f.incarnations, id)
-		}
-	}
-	return edit.Done()
-}
-
 // Doubt implements kinds.Catalog. The upstream gets no work until its entry changes.
 func (f *follower) Doubt(id core.UpstreamID) {
 	if state := f.State.Load().State(id); state != nil && state.DrainSince.CompareAndSwap(0, f.Clock.Now().UnixNano()) {
--- a/plugins/configuration/log/checkpoint.go
+++ b/plugins/configuration/log/checkpoint.go
@@ -37,7 +37,7 @@
 
 func (s *service) readLatest(ctx context.Context) (latest, uint64, error) {
 	object, err := s.Platform.Get(ctx, latestKey)
-	if codeOf(err) == core.CodeNotFound {
+	if core.CodeOf(err) == core.CodeNotFound {
 		return latest{}, 0, nil
 	}
 	if err != nil {
@@ -58,7 +58,7 @@
 		return err
 	}
 	set, err := s.fetchCheckpoint(ctx, l.Revision)
-	if codeOf(err) == core.CodePlatformUnavailable {
+	if core.CodeOf(err) == core.CodePlatformUnavailable {
 		return err
 	}
 	if err != nil {
@@ -144,7 +144,7 @@
 		return err
 	}
 	_, err = s.Platform.Create(ctx, checkpointKey(set.Revision), raw)
-	if codeOf(err) == core.CodeConflict {
+	if core.CodeOf(err) == core.CodeConflict {
 		// The other writer has stored the same set.
 		return nil
 	}
@@ -157,7 +157,7 @@
 	for at := 0; at < len(data); at += partBytes {
 		key := fmt.Sprintf("%s%020d/%s-%d/%04d", partsPrefix, revision, s.Identity.VM, s.Identity.Incarnation, len(keys))
 		_, err := s.Platform.Create(ctx, key, data[at:min(at+partBytes, len(data))])
-		if err != nil && codeOf(err) != core.CodeConflict {
+		if err != nil && core.CodeOf(err) != core.CodeConflict {
 			return nil, err
 		}
 		keys = append(keys, key)
--- a/plugins/configuration/log/operations.go
+++ b/plugins/configuration/log/operations.go
@@ -34,7 +34,7 @@
 		return config.Plan{}, core.Errorf(core.CodeInternal, "%v", err)
 	}
 	_, err = s.Platform.Create(ctx, planKey(plan.ID), raw)
-	if codeOf(err) == core.CodeNotKnownYet {
+	if core.CodeOf(err) == core.CodeNotKnownYet {
 		_, err = s.GetPlan(ctx, plan.ID)
 	}
 	if err != nil {
@@ -46,7 +46,7 @@
 // notStored returns the code for a plan that could not be stored or read back. A plan has no effect by itself, so a
 // lost one changed nothing.
 func notStored(err error) core.Code {
-	if code := codeOf(err); code == core.CodeBodyTooLarge {
+	if code := core.CodeOf(err); code == core.CodeBodyTooLarge {
 		return code
 	}
 	return core.CodePlatformUnavailable
@@ -73,7 +73,7 @@
 		return config.Plan{}, core.Errorf(core.CodePlanNotFound, "%q is no plan ID", id)
 	}
 	object, err := s.read(ctx, planKey(id))
-	if codeOf(err) == core.CodeNotFound {
+	if core.CodeOf(err) == core.CodeNotFound {
 		return config.Plan{}, core.Errorf(core.CodePlanNotFound, "plan %s", id)
 	}
 	if err != nil {
@@ -121,7 +121,7 @@
 		read = s.read
 	}
 	object, err := read(ctx, changeKey(plan.Target()))
-	if codeOf(err) == core.CodeNotFound {
+	if core.CodeOf(err) == core.CodeNotFound {
 		return config.Change{}, false, nil
 	}
 	if err != nil {
@@ -157,7 +157,7 @@
 			break
 		}
 		_, err = s.Platform.Create(ctx, changeKey(change.Revision), raw)
-		switch codeOf(err) {
+		switch core.CodeOf(err) {
 		case core.CodeOK:
 			s.take(sourceConfirm, change)
 			return change, nil
--- a/plugins/configuration/log/store.go
+++ b/plugins/configuration/log/store.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -32,19 +31,6 @@
 func checkpointKey(r core.Revision) string { return fmt.Sprintf("%s%020d", checkpointsPrefix, r) }
 func planKey(id config.PlanID) string      { return plansPrefix + string(id) }
 
-// codeOf returns the result code of an error of the platform.
-func codeOf(err error) core.Code {
-	var coded *core.Error
-	switch {
-	case err == nil:
-		return core.CodeOK
-	case errors.As(err, &coded):
-		return coded.Code
-	default:
-		return core.CodeInternal
-	}
-}
-
 func encodeChange(change *config.Change) ([]byte, error) { return json.Marshal(change) }
 
 func decodeChange(raw []byte) (config.Change, error) {
@@ -94,7 +80,7 @@
 // list.
 func (s *service) read(ctx context.Context, key string) (kinds.Object, error) {
 	object, err := s.Platform.Get(ctx, key)
-	if codeOf(err) != core.CodeNotFound {
+	if core.CodeOf(err) != core.CodeNotFound {
 		return object, err
 	}
 	listed, err := s.Platform.List(ctx, key, "", 1)
--- a/plugins/frontend/gateway/gateway.go
+++ b/plugins/frontend/gateway/gateway.go
@@ -126,7 +126,7 @@
 func (g *gateway) shutdown(ctx context.Context) error {
 	g.stopping.Store(true)
 	g.Log.Info("not_ready", "reason", "stopping")
-	wait(ctx, time.Duration(g.settings.BalancerLagMS)*time.Millisecond)
+	kernel.Pause(ctx, time.Duration(g.settings.BalancerLagMS)*time.Millisecond)
 	g.closing.Store(true)
 	g.stop()
 	limited := ctx
@@ -139,15 +139,6 @@
 	return errs.Combine(err, g.ready.Close())
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (g *gateway) tellReady(c *gin.Context) {
 	// A VM that is cut off from all other failure domains cannot answer for their shards; those of other domains can.
 	if g.stopping.Load() || !g.State.Load().Ready || g.Reach.Isolated() {
--- a/plugins/membership/store/store.go
+++ b/plugins/membership/store/store.go
@@ -112,7 +112,7 @@
 			return
 		}
 		m.Log.Info("vm_list_unavailable", "error", err.Error(), "known", len(m.known))
-		pause(ctx, time.Duration((0.5+random.Float64())*float64(m.settings.RetryMS))*time.Millisecond)
+		kernel.Pause(ctx, time.Duration((0.5+random.Float64())*float64(m.settings.RetryMS))*time.Millisecond)
 	}
 }
 
@@ -125,7 +125,7 @@
 		}
 		*announced = true
 		// VMs that start together see each other in one list.
-		pause(ctx, time.Duration(m.settings.GatherMS)*time.Millisecond)
+		kernel.Pause(ctx, time.Duration(m.settings.GatherMS)*time.Millisecond)
 	}
 	entries, cursor, err := m.Store.VMs(ctx, true)
 	if err != nil {
@@ -139,21 +139,12 @@
 			return err
 		}
 		if m.take(entries); next != cursor {
-			pause(ctx, time.Duration(m.settings.GatherMS)*time.Millisecond)
+			kernel.Pause(ctx, time.Duration(m.settings.GatherMS)*time.Millisecond)
 		}
 		cursor = next
 	}
 }
 
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // take adds changed entries and publishes the members.
 func (m *membership) take(entries []kinds.VMEntry) {
 	if len(entries) == 0 {
--- a/plugins/records/platform/claim.go
+++ b/plugins/records/platform/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"gooseberrylane.example/coord/idempotency"
@@ -18,14 +17,6 @@
 	version uint64
 }
 
-func codeOf(err error) core.Code {
-	var coded *core.Error
-	if !errors.As(err, &coded) {
-		return core.CodeInternal
-	}
-	return coded.Code
-}
-
 func (c *claim) create(ctx context.Context) error {
 	value, err := encodeRecord(&c.record)
 	if err != nil {
@@ -67,7 +58,7 @@
 
 func (c *claim) read(ctx context.Context) (kinds.Object, *idempotency.Record, error) {
 	object, err := c.records.Platform.Get(ctx, c.key)
-	if codeOf(err) == core.CodeNotFound {
+	if core.CodeOf(err) == core.CodeNotFound {
 		return kinds.Object{}, nil, nil
 	}
 	if err != nil {
--- a/plugins/records/platform/platform.go
+++ b/plugins/records/platform/platform.go
@@ -115,7 +115,7 @@
 
 // unsettled reports whether a claim may have taken effect or may still be won after an error.
 func unsettled(err error) bool {
-	code := codeOf(err)
+	code := core.CodeOf(err)
 	return code == core.CodeConflict || code == core.CodeNotKnownYet
 }
 
--- a/plugins/records/platform/sweep.go
+++ b/plugins/records/platform/sweep.go
@@ -105,7 +105,7 @@
 		if err != nil || record.Deadline.After(oldest) {
 			continue
 		}
-		if err := s.Platform.Delete(ctx, object.Key, object.Version); err != nil && codeOf(err) != core.CodeConflict && codeOf(err) != core.CodeNotFound {
+		if err := s.Platform.Delete(ctx, object.Key, object.Version); err != nil && core.CodeOf(err) != core.CodeConflict && core.CodeOf(err) != core.CodeNotFound {
 			return "", removed, err
 		}
 		removed++
--- a/plugins/router/fanout/answer.go
+++ b/plugins/router/fanout/answer.go
@@ -26,12 +26,12 @@
 	}
 	r.count(verdict)
 	covered, all := r.machine.Covered()
-	r.levels.record(r.plan.Route, burn.Event{Code: codeOf(verdict), Took: r.Clock.Now().Sub(r.request.Arrived), Asked: all, Covered: covered})
+	r.levels.record(r.plan.Route, burn.Event{Code: verdictCode(verdict), Took: r.Clock.Now().Sub(r.request.Arrived), Asked: all, Covered: covered})
 	r.logEnd(verdict.String(), answer.Status, answer.RetryAfter)
 	return answer
 }
 
-func codeOf(verdict fanout.Verdict) core.Code {
+func verdictCode(verdict fanout.Verdict) core.Code {
 	switch verdict {
 	case fanout.Complete:
 		return core.CodeOK
