Let one loop at a time ask a store that does not answer

Change: while the store does not answer, one loop of the follower asks and the other waits for its success; the list of VMs is tried every 3 s. A hang-up signal during the start does not end the process.

--- a/cmd/gooseberrylaned/main.go
+++ b/cmd/gooseberrylaned/main.go
@@ -31,6 +31,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	// SIGHUP would end the process if nobody took it.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	flags := flag.NewFlagSet("gooseberrylaned", flag.ContinueOnError)
 	path := flags.String("settings", "", "path of the JSON settings `file`")
 	source := flags.String("source", "", "`name` of a source that translates a settings file of another format")
@@ -52,9 +55,6 @@
 		fmt.Fprintln(os.Stderr, "gooseberrylaned:", err)
 		return exitBadSettings
 	}
-	// SIGHUP would end the process if nobody took it.
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	sink := logsink.New(os.Stdout, *logRate)
--- a/plugins/catalog/store/follow.go
+++ b/plugins/catalog/store/follow.go
@@ -51,6 +51,7 @@
 		return
 	}
 	now := l.Clock.Now()
+	l.outage.regained()
 	if l.away.Swap(false) {
 		l.mu.Lock()
 		l.directory.Regained(now)
@@ -84,7 +85,26 @@
 		}
 		l.failedInRow++
 		l.away.Store(true)
+		if back := l.outage.lost(l.what); back != nil {
+			l.awaitOther(ctx, back)
+			return
+		}
 	}
 	// The pause is spread by half of itself in both directions, so that VMs do not come back together.
 	kernel.Pause(ctx, time.Duration((0.5+l.random.Float64())*float64(length)))
 }
+
+// awaitOther waits until another loop has an answer. If that loop is stuck, this one asks by itself after a while.
+func (l *link) awaitOther(ctx context.Context, back <-chan struct{}) {
+	limited, cancel := context.WithTimeout(ctx, longestWait)
+	defer cancel()
+	select {
+	case <-back:
+		// Lists of all VMs at once are spread out.
+		kernel.Pause(ctx, time.Duration(l.random.Float64()*float64(millis(l.settings.RetryMS))))
+	case <-limited.Done():
+	}
+}
+
+// longestWait bounds the wait for another loop: two calls that time out, and the pauses between them.
+const longestWait = 5 * time.Second
--- a/plugins/catalog/store/store.go
+++ b/plugins/catalog/store/store.go
@@ -93,7 +93,8 @@
 	// failures and lists count failed calls and complete lists.
 	failures, lists atomic.Uint64
 	// away is set when a call got no answer, so that the store may have dropped live entries meanwhile.
-	away atomic.Bool
+	away   atomic.Bool
+	outage outage
 
 	// checking orders the checks of staleness, which the loops share.
 	checking  sync.Mutex
--- a/plugins/membership/store/store.go
+++ b/plugins/membership/store/store.go
@@ -32,7 +32,8 @@
 const (
 	defaultWatchMS  = 14_000
 	defaultGatherMS = 2000
-	defaultRetryMS  = 1000
+	// defaultRetryMS may be long: links tell which VMs answer, so the list may be old.
+	defaultRetryMS = 3000
 	// withdrawTimeout bounds the removal of the own entry at a stop.
 	withdrawTimeout = 300 * time.Millisecond
 )
@@ -46,7 +47,7 @@
 	// GatherMS is the pause after a change, in milliseconds, so that many VMs that start together cost few calls. Default
 	// 2000.
 	GatherMS int64 `json:"gather_ms" validate:"gte=0,lte=60000"`
-	// RetryMS is the mean pause after a failed call, in milliseconds. Default 1000.
+	// RetryMS is the mean pause after a failed call, in milliseconds. Default 3000.
 	RetryMS int64 `json:"retry_ms" validate:"gte=1,lte=60000"`
 }
 
