--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -24,4 +24,7 @@
 }
 
 // failedBefore are the seeds that broke a promise once, each with its cause.
-var failedBefore = []uint64{}
+var failedBefore = []uint64{
+	// A VM had lost the store for 8.3 s when an upstream left, and the check did not allow for it.
+	1000,
+}
