Do not spin between the latency objective and the late answer

Cause: Next returned the time of a partial answer also after the latency objective, when it no longer has a meaning. A gathered request that covered enough then woke its driver without pause until half of the caller's time was over. Change: Next takes the time and leaves out the times that have passed; a hedge that is due is done by the next Wake. Result: TestNextIsLater failed before (at 40 ms the machine wants to be woken at 30 ms).

--- a/coord/fanout/machine.go
+++ b/coord/fanout/machine.go
@@ -194,24 +194,26 @@
 	return m.sends
 }
 
-// Next returns when Wake has something to do.
-func (m *Machine) Next() time.Time {
+// Next returns when Wake has something to do. A hedge that is due already is done by the next Wake; all other times are
+// after now while the request is pending.
+func (m *Machine) Next(now time.Time) time.Time {
 	next := m.plan.Times.GiveUp
 	consider := func(t time.Time) {
-		if !t.IsZero() && t.Before(next) {
+		if t.Before(next) {
 			next = t
 		}
 	}
 	for i := range m.legs {
-		if !m.legs[i].ended {
-			consider(m.legs[i].hedgeAt)
+		if state := &m.legs[i]; !state.ended && !state.hedgeAt.IsZero() {
+			consider(state.hedgeAt)
 		}
 	}
-	if m.plan.Route.Gather != nil && m.covered >= m.need {
-		if m.plan.Times.PartialAt.Before(m.plan.Times.ObjectiveAt) {
-			consider(m.plan.Times.PartialAt)
+	if m.enough() {
+		for _, t := range []time.Time{m.plan.Times.PartialAt, m.plan.Times.SettleAt} {
+			if t.After(now) {
+				consider(t)
+			}
 		}
-		consider(m.plan.Times.SettleAt)
 	}
 	return next
 }
--- a/coord/fanout/machine_test.go
+++ b/coord/fanout/machine_test.go
@@ -120,7 +120,7 @@
 	m := fanout.New(gathered(2, 0.5), &policies{extra: 9})
 	c.Assert(m.Start(start), qt.HasLen, 2)
 	m.Finished(start.Add(time.Millisecond), 0, success)
-	c.Assert(m.Next(), qt.Equals, start.Add(hedgeDelay))
+	c.Assert(m.Next(start), qt.Equals, start.Add(hedgeDelay))
 	sends := m.Wake(start.Add(hedgeDelay))
 	c.Assert(sends, qt.HasLen, 1)
 	c.Assert(sends[0].Reason, qt.Equals, fanout.Hedge)
@@ -153,6 +153,34 @@
 	c.Assert(late.Verdict(), qt.Equals, fanout.Partial)
 }
 
+// TestNextIsLater guards against a driver that spins because the machine asks to be woken at a time that has passed.
+func TestNextIsLater(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := fanout.New(gathered(4, 0.75), &policies{extra: rapid.IntRange(0, 4).Draw(rt, "extra")})
+		now := start
+		open := make([]int, 4)
+		note := func(sends []fanout.Send) {
+			for _, s := range sends {
+				open[s.Leg]++
+			}
+		}
+		note(m.Start(now))
+		for m.Verdict() == fanout.Pending {
+			if next := m.Next(now); !next.After(now) {
+				rt.Fatalf("at %v the machine wants to be woken at %v", now.Sub(start), next.Sub(start))
+			}
+			leg := rapid.IntRange(0, 3).Draw(rt, "leg")
+			if open[leg] > 0 && rapid.Bool().Draw(rt, "reply") {
+				open[leg]--
+				note(m.Finished(now, leg, rapid.SampledFrom([]*core.Reply{success, lost}).Draw(rt, "kind")))
+				continue
+			}
+			now = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(rt, "ms")) * time.Millisecond)
+			note(m.Wake(now))
+		}
+	})
+}
+
 // TestHopelessQueryEndsAtOnce guards against a query that waits for its deadline though too many shards are lost.
 func TestHopelessQueryEndsAtOnce(t *testing.T) {
 	c := qt.New(t)
@@ -168,7 +196,7 @@
 	c := qt.New(t)
 	m := fanout.New(single(false, 1, "a"), &policies{})
 	m.Start(start)
-	c.Assert(m.Next(), qt.Equals, start.Add(time.Second))
+	c.Assert(m.Next(start), qt.Equals, start.Add(time.Second))
 	m.Wake(start.Add(time.Second))
 	c.Assert(m.Verdict(), qt.Equals, fanout.Expired)
 }
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -67,7 +67,7 @@
 		r.policies.budget(now, r.plan.Legs[i].Service).window.Count(now)
 	}
 	r.send(work, r.machine.Start(now))
-	timer := time.NewTimer(r.machine.Next().Sub(now))
+	timer := time.NewTimer(r.machine.Next(now).Sub(now))
 	defer timer.Stop()
 	for r.machine.Verdict() == fanout.Pending {
 		select {
@@ -84,7 +84,8 @@
 			r.logEnd("left", http.StatusBadGateway, 0)
 			return kinds.RoutedAnswer{Status: http.StatusBadGateway, Error: core.Errorf(core.CodeCancelled, "the caller has gone")}
 		}
-		timer.Reset(r.machine.Next().Sub(r.Clock.Now()))
+		now = r.Clock.Now()
+		timer.Reset(r.machine.Next(now).Sub(now))
 	}
 	time.AfterFunc(linger, func() { cancel(errOutlasted) })
 	return r.answer()
