--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -76,13 +76,12 @@
 // TestOnlyThePlatformFolderKnowsItsNames guards against names of the machines' platform that spread through the code.
 func TestOnlyThePlatformFolderKnowsItsNames(t *testing.T) {
 	c := qt.New(t)
-	cmd := exec.Command("git", "grep", "-lE", `Gooseberrylane-[A-Z]|warmup_left_ms|path_prefix|stability_window_ms|GOOSEBERRYLANE_CONFIG`, "--", "*.go", ":!platform")
+	cmd := exec.Command("git", "grep", "-lE", `Gooseberrylane[-][A-Z]|warmup_left[_]ms|path[_]prefix|stability_window[_]ms|GOOSEBERRYLANE[_]CONFIG`, "--", "*.go", ":!platform")
 	cmd.Dir = "../.."
 	out, err := cmd.Output()
 	var exit *exec.ExitError
 	if err != nil && (!errors.As(err, &exit) || exit.ExitCode() != 1) {
 		c.Fatal(err)
 	}
-	files := strings.Fields(string(out))
-	c.Assert(files, qt.DeepEquals, []string{"test/imports/imports_test.go"})
+	c.Assert(strings.Fields(string(out)), qt.HasLen, 0)
 }
