--- a/coord/fanout/machine_test.go
+++ b/coord/fanout/machine_test.go
@@ -181,6 +181,19 @@
 	})
 }
 
+// TestShortObjectiveLeavesTheWay guards against partial answers that are late at a caller on a new connection, whose ways to
+// the VM take a large part of a short objective.
+func TestShortObjectiveLeavesTheWay(t *testing.T) {
+	c := qt.New(t)
+	shares := fanout.Shares{Partial: 0.7, Margin: 15 * time.Millisecond}
+	for objective, want := range map[time.Duration]time.Duration{
+		40 * time.Millisecond: 25 * time.Millisecond, 100 * time.Millisecond: 70 * time.Millisecond, 10 * time.Millisecond: 0,
+	} {
+		route := &core.Route{Objective: objective, Timeout: time.Second}
+		c.Check(fanout.Schedule(route, start, time.Time{}, shares).PartialAt.Sub(start), qt.Equals, want)
+	}
+}
+
 // TestHopelessQueryEndsAtOnce guards against a query that waits for its deadline though too many shards are lost.
 func TestHopelessQueryEndsAtOnce(t *testing.T) {
 	c := qt.New(t)
--- a/coord/fanout/plan.go
+++ b/coord/fanout/plan.go
@@ -43,6 +43,8 @@
 type Shares struct {
 	// Partial is the share of the latency objective after which a partial answer is given.
 	Partial float64
+	// Margin is the least part of the objective that is left for the ways between the caller and the VM.
+	Margin time.Duration
 	// Settle is the share of the time until GiveUp after which a late partial answer is given.
 	Settle float64
 }
@@ -54,7 +56,7 @@
 		giveUp = limit
 	}
 	return Times{
-		PartialAt:   arrived.Add(scale(route.Objective, shares.Partial)),
+		PartialAt:   arrived.Add(max(min(scale(route.Objective, shares.Partial), route.Objective-shares.Margin), 0)),
 		ObjectiveAt: arrived.Add(route.Objective),
 		SettleAt:    arrived.Add(scale(giveUp.Sub(arrived), shares.Settle)),
 		GiveUp:      giveUp,
--- a/plugins/router/fanout/router.go
+++ b/plugins/router/fanout/router.go
@@ -37,6 +37,9 @@
 	// PartialShare is the share of a route's latency objective after which a gathered answer that covers enough is given
 	// although parts are missing. The rest is for the ways between the caller and the VM. Default 0.7.
 	PartialShare float64 `json:"partial_share" validate:"gt=0,lte=1"`
+	// AnswerMarginMS is the least part of a latency objective that is left for those ways, in milliseconds: a new connection,
+	// the request and its answer, to callers 3 ms away, and the time until a busy VM reads and writes. Default 15.
+	AnswerMarginMS float64 `json:"answer_margin_ms" validate:"gte=0,lte=10000"`
 	// SettleShare is the share of the time of a request after which a late gathered answer that covers enough is given.
 	// Default 0.5.
 	SettleShare float64 `json:"settle_share" validate:"gt=0,lte=1"`
@@ -65,11 +68,18 @@
 
 func defaults() Settings {
 	return Settings{
-		PartialShare: 0.7, SettleShare: 0.5, HedgeQuantile: 0.9, HedgeMinMS: 3, HedgeMaxShare: 0.3, LingerMS: 250,
+		PartialShare: 0.7, AnswerMarginMS: 15, SettleShare: 0.5, HedgeQuantile: 0.9, HedgeMinMS: 3, HedgeMaxShare: 0.3, LingerMS: 250,
 		ExtraRatio: 0.1, ExtraWindowMS: 10_000, ExtraMargin: 0.9, RetryAfterMS: 100,
 	}
 }
 
+// shares returns what places the moments of a request.
+func (s *Settings) shares() fanout.Shares {
+	return fanout.Shares{
+		Partial: s.PartialShare, Margin: time.Duration(s.AnswerMarginMS * float64(time.Millisecond)), Settle: s.SettleShare,
+	}
+}
+
 type params struct {
 	fx.In
 	State    *kernel.State
@@ -171,7 +181,7 @@
 	if request.Patience > 0 {
 		limit = request.Arrived.Add(request.Patience)
 	}
-	plan := fanout.Plan{Route: route, Times: fanout.Schedule(route, request.Arrived, limit, fanout.Shares{Partial: r.settings.PartialShare, Settle: r.settings.SettleShare})}
+	plan := fanout.Plan{Route: route, Times: fanout.Schedule(route, request.Arrived, limit, r.settings.shares())}
 	if route.Gather != nil {
 		for _, shard := range route.Gather.Shards {
 			plan.Legs = append(plan.Legs, fanout.Leg{Service: shard, Group: view.Registered.Group(shard)})
