--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -85,3 +85,17 @@
 	}
 	c.Assert(strings.Fields(string(out)), qt.HasLen, 0)
 }
+
+// TestPlatformFolderDecidesNothing guards against decisions that move into the folder that only translates: it may use the
+// types of the project, but none of the packages that decide or run requests.
+func TestPlatformFolderDecidesNothing(t *testing.T) {
+	c := qt.New(t)
+	cmd := exec.Command("go", "list", "-f", "{{join .Imports \"\\n\"}}", "./platform")
+	cmd.Dir = "../.."
+	out, err := cmd.Output()
+	c.Assert(err, qt.IsNil)
+	allowed := map[string]bool{module + "/core": true, module + "/coord/catalog": true, module + "/kernel": true, module + "/kernel/kinds": true}
+	for _, path := range strings.Fields(string(out)) {
+		c.Check(!strings.HasPrefix(path, module) || allowed[path], qt.IsTrue, qt.Commentf("platform imports %s", path))
+	}
+}
