Send legs refused by a former owner to another replica

Cause: a leg that reaches a VM which gave up the upstream is refused with not_owner. When the refusal names no owner and the policy allows no retry, the shard counted as missing, although no upstream had seen the request. Change: such a sub-request goes once to each replica that it did not try. It is no retry, as it reached no upstream; refusals by upstreams still need the policy.

--- a/coord/query/machine.go
+++ b/coord/query/machine.go
@@ -253,7 +253,7 @@
 	failure := Failure{Code: result.Code, Attempts: state.attempts, Free: state.free, Left: m.cutOff.Sub(now)}
 	delay, free, ok := m.cfg.Policies.Retrier.Allow(now, m.cfg.Random, m.cfg.Service, failure)
 	if !ok || !now.Add(delay).Before(m.cutOff) {
-		m.finish(state)
+		m.reroute(now, a.shard, result.Code)
 		return
 	}
 	if free {
@@ -266,6 +266,20 @@
 	state.sendAt = now.Add(delay)
 }
 
+// reroute ends a sub-request that gets no retry, unless the VM that was asked had given up the upstream. Then the leg
+// reached no upstream, so it goes to a replica that was not tried without being counted as a retry.
+func (m *Machine) reroute(now time.Time, index int, code core.Code) {
+	state := &m.shards[index]
+	if code == core.CodeNotOwner {
+		if upstream := m.selectFrom(now, m.untried(state)); upstream != nil {
+			m.dispatch(now, index, upstream, "", reasonRetry)
+			m.planHedge(now, state)
+			return
+		}
+	}
+	m.finish(state)
+}
+
 func (m *Machine) finish(state *shardState) {
 	if state.done {
 		return
--- a/coord/query/machine_test.go
+++ b/coord/query/machine_test.go
@@ -165,6 +165,45 @@
 	c.Assert(again[0].Via, qt.Equals, core.VMName("vm-9"))
 }
 
+// plainRetrier is the policy of a service without retries.
+type plainRetrier struct{ query.Retrier }
+
+func (plainRetrier) Allow(time.Time, *rand.Rand, *core.Service, query.Failure) (time.Duration, bool, bool) {
+	return 0, false, false
+}
+
+// TestRefusalByFormerOwnerTriesOtherReplicas guards against a shard that counts as missing because a VM that gave up the
+// upstream refused the leg, while another replica could have answered. Each replica is tried once.
+func TestRefusalByFormerOwnerTriesOtherReplicas(t *testing.T) {
+	c := qt.New(t)
+	for _, idempotent := range []bool{true, false} {
+		f := newFixture(1, 3)
+		f.policies.Retrier = plainRetrier{f.policies.Retrier}
+		m := f.machine(idempotent, time.Second)
+		asked := map[core.UpstreamID]bool{}
+		for legs := sends(m.Start(epoch)); len(legs) > 0; {
+			c.Assert(legs, qt.HasLen, 1)
+			c.Assert(asked[legs[0].Upstream], qt.IsFalse)
+			asked[legs[0].Upstream] = true
+			legs = sends(m.Result(epoch, notRun(legs[0], core.CodeNotOwner)))
+		}
+		c.Assert(asked, qt.HasLen, 3)
+		c.Assert(m.Done(), qt.IsTrue)
+		c.Assert(m.Answer().Missing[0].Reason, qt.Equals, core.CodeNotOwner)
+	}
+}
+
+// TestRefusalByAnUpstreamIsNotRerouted guards against retries that no policy allowed.
+func TestRefusalByAnUpstreamIsNotRerouted(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(1, 3)
+	f.policies.Retrier = plainRetrier{f.policies.Retrier}
+	m := f.machine(true, time.Second)
+	first := sends(m.Start(epoch))[0]
+	c.Assert(sends(m.Result(epoch, notRun(first, core.CodeShed))), qt.HasLen, 0)
+	c.Assert(m.Done(), qt.IsTrue)
+}
+
 // TestRetryWithoutReplicaSpendsNoBudget guards against a budget that is used up by retries that cannot be sent.
 func TestRetryWithoutReplicaSpendsNoBudget(t *testing.T) {
 	c := qt.New(t)
--- a/coord/query/shard.go
+++ b/coord/query/shard.go
@@ -274,6 +274,11 @@
 	return m.candidates
 }
 
+// untried returns the usable replicas that the sub-request did not try. The result is valid until the next call of usable.
+func (m *Machine) untried(state *shardState) []Candidate {
+	return slices.DeleteFunc(m.usable(state, false), func(c Candidate) bool { return c.Tried > 0 })
+}
+
 // mayUse applies what no policy may override: draining replicas get no new work, and rules bound the reach.
 func (m *Machine) mayUse(upstream *core.Upstream, observed *core.UpstreamState) bool {
 	if upstream.Draining || observed == nil || observed.DrainSince.Load() != 0 {
