Hold back requests while their upstreams are overloaded

Each request lost some legs to full upstreams, failed with 502 after most of its legs had run, and came back at once; all legs were late, so all were also sent a second time. The router had no admission. Change: admission.Throttle lowers the share of the requests that a VM starts when its requests meet overload, by rank, and raises it with time. The rest is refused at once with spread returns. Machine.Overloaded tells a few bad shards from overload, and no second requests are sent while more than half of the legs are open.

--- a/coord/fanout/machine.go
+++ b/coord/fanout/machine.go
@@ -16,6 +16,9 @@
 	need     int
 	// covered and failed count the legs that ended.
 	covered, failed int
+	// inTime counts the legs that were covered before the time of a partial answer, shed those that an upstream refused
+	// because of its load.
+	inTime, shed int
 	// started is true once the first sends were handed out, ran once an upstream may have begun to work on the request.
 	started, ran bool
 	verdict      Verdict
@@ -27,7 +30,7 @@
 	// sent counts the upstreams that got the leg, open the sends that have not ended, repeats those to an upstream that
 	// had the leg before.
 	sent, open, repeats int
-	ended               bool
+	ended, shed         bool
 	hedgeAt             time.Time
 }
 
@@ -73,6 +76,7 @@
 	if state.ended || m.verdict != Pending {
 		return nil
 	}
+	m.noteLoad(now, state, reply)
 	switch {
 	case reply.Code == core.CodeOK:
 		state.ended = true
@@ -85,6 +89,26 @@
 	return m.sends
 }
 
+func (m *Machine) noteLoad(now time.Time, state *legState, reply *core.Reply) {
+	switch {
+	case reply.Code == core.CodeShed && !state.shed:
+		state.shed = true
+		m.shed++
+	case reply.Code == core.CodeOK && now.Before(m.plan.Times.PartialAt):
+		m.inTime++
+	}
+}
+
+// Overloaded reports whether the request met upstreams that have more work than they can do: they refused more of its
+// legs than an answer may leave out, or most legs of a gathered request took too long. A few slow shards do not count.
+func (m *Machine) Overloaded(now time.Time) bool {
+	legs := len(m.legs)
+	if m.shed > legs-m.need {
+		return true
+	}
+	return m.plan.Route.Gather != nil && !now.Before(m.plan.Times.PartialAt) && 2*(legs-m.inTime) > legs
+}
+
 // mayRetry reports whether a leg that ended with a reply may be sent to another upstream.
 func (m *Machine) mayRetry(reply *core.Reply) bool {
 	if reply.Outcome == core.OutcomeNotRun {
@@ -185,7 +209,7 @@
 		if state.ended || state.hedgeAt.IsZero() || now.Before(state.hedgeAt) {
 			continue
 		}
-		if !m.mayAskAgain(now, i) || !m.send(now, i, Hedge) {
+		if m.mostOpen() || !m.mayAskAgain(now, i) || !m.send(now, i, Hedge) {
 			// The budget may have room again later.
 			state.hedgeAt = now.Add(m.policies.HedgeDelay(m.plan.Route))
 		}
@@ -194,6 +218,12 @@
 	return m.sends
 }
 
+// mostOpen reports whether more than half of the legs of a gathered request wait for an answer. Then the upstreams have
+// more work than they can do, and second requests would only add to it.
+func (m *Machine) mostOpen() bool {
+	return m.plan.Route.Gather != nil && 2*(len(m.legs)-m.covered-m.failed) > len(m.legs)
+}
+
 // Next returns when Wake has something to do. A hedge that is due already is done by the next Wake; all other times are
 // after now while the request is pending.
 func (m *Machine) Next(now time.Time) time.Time {
--- a/coord/fanout/machine_test.go
+++ b/coord/fanout/machine_test.go
@@ -271,3 +271,48 @@
 		}
 	})
 }
+
+// TestNoHedgesWhileMostLegsWait guards against second requests that add to the load of upstreams that are all too slow
+// because of their load.
+func TestNoHedgesWhileMostLegsWait(t *testing.T) {
+	c := qt.New(t)
+	m := fanout.New(gathered(4, 0.5), &policies{extra: 9})
+	m.Start(start)
+	at := start.Add(hedgeDelay)
+	m.Finished(start, 0, success)
+	c.Assert(m.Wake(at), qt.HasLen, 0)
+	m.Finished(at, 1, success)
+	at = m.Next(at)
+	c.Assert(m.Wake(at), qt.HasLen, 2)
+}
+
+// TestSignsOfOverload guards against a few slow or full shards that hold back all requests, and against an overload that
+// nobody notices.
+func TestSignsOfOverload(t *testing.T) {
+	c := qt.New(t)
+	partial := start.Add(30 * time.Millisecond)
+	run := func(plan fanout.Plan, end time.Time, replies ...*core.Reply) bool {
+		m := fanout.New(plan, &policies{})
+		m.Start(start)
+		for leg, reply := range replies {
+			if reply != nil {
+				m.Finished(end, leg, reply)
+			}
+		}
+		m.Wake(end)
+		return m.Overloaded(end)
+	}
+	c.Check(run(gathered(4, 0.5), start, success, shed, success, shed), qt.IsFalse)
+	c.Check(run(gathered(4, 0.5), start, success, shed, shed, shed), qt.IsTrue)
+	c.Check(run(gathered(4, 0.25), partial, success, nil, nil, nil), qt.IsTrue)
+	c.Check(run(gathered(4, 0.5), start, success, failure, failure, failure), qt.IsFalse)
+	c.Check(run(single(true, 2, "a"), start, shed), qt.IsTrue)
+	c.Check(run(single(true, 2, "a"), start.Add(time.Second)), qt.IsFalse)
+	m := fanout.New(gathered(4, 0.5), &policies{})
+	m.Start(start)
+	m.Finished(start, 0, success)
+	m.Finished(start, 1, success)
+	m.Wake(partial)
+	c.Check(m.Verdict(), qt.Equals, fanout.Partial)
+	c.Check(m.Overloaded(partial), qt.IsFalse)
+}
--- a/plugins/router/fanout/policies.go
+++ b/plugins/router/fanout/policies.go
@@ -22,6 +22,8 @@
 	started    time.Time
 	// latencies maps core.RouteName to *hedge.Quantile, budgets maps core.ServiceName to *extraBudget.
 	latencies, budgets sync.Map
+	// throttles maps throttleKey to *admission.Throttle.
+	throttles sync.Map
 }
 
 func newPolicies(p params, settings Settings) *policies {
--- a/plugins/router/fanout/router.go
+++ b/plugins/router/fanout/router.go
@@ -64,12 +64,23 @@
 	ExtraMargin float64 `json:"extra_margin" validate:"gt=0,lte=1"`
 	// RetryAfterMS is the mean time after which a refused caller is asked to come back, in milliseconds. Default 100.
 	RetryAfterMS float64 `json:"retry_after_ms" validate:"gte=1,lte=60000"`
+	// ThrottleLeast is the smallest share of the requests that is started while upstreams are overloaded. Default 0.05.
+	ThrottleLeast float64 `json:"throttle_least" validate:"gt=0,lte=1"`
+	// ThrottleLower multiplies that share when a request met overload. Default 0.8.
+	ThrottleLower float64 `json:"throttle_lower" validate:"gt=0,lte=1"`
+	// ThrottleRise is added to the share each second. Default 0.4: of 0.1 to 0.8, served most in the load of load_test.go
+	// while all requests start again within two seconds after it.
+	ThrottleRise float64 `json:"throttle_rise" validate:"gt=0,lte=100"`
+	// ThrottleFloor is the part of the share that a class gets however many requests the classes before it have. Default
+	// 0.4, so that none falls below a quarter of the others.
+	ThrottleFloor float64 `json:"throttle_floor" validate:"gte=0,lte=1"`
 }
 
 func defaults() Settings {
 	return Settings{
 		PartialShare: 0.7, AnswerMarginMS: 15, SettleShare: 0.5, HedgeQuantile: 0.9, HedgeMinMS: 3, HedgeMaxShare: 0.3, LingerMS: 250,
 		ExtraRatio: 0.1, ExtraWindowMS: 10_000, ExtraMargin: 0.9, RetryAfterMS: 100,
+		ThrottleLeast: 0.05, ThrottleLower: 0.8, ThrottleRise: 0.4, ThrottleFloor: 0.4,
 	}
 }
 
@@ -112,7 +123,7 @@
 // counters count the ends of requests and the sends beyond the first.
 type counters struct {
 	complete, partial, failed, refused, expired, left atomic.Uint64
-	hedges, retries                                   atomic.Uint64
+	hedges, retries, throttled                        atomic.Uint64
 }
 
 func newRouter(p params, settings Settings) *router {
@@ -172,7 +183,11 @@
 		return r.refuse(t.request, err, r.returnAfter())
 	}
 	plan.Attempts = t.attempts
-	return newRun(r, t, plan).drive(ctx)
+	throttle := r.policies.throttle(&plan)
+	if refusal := r.throttled(t, throttle); refusal != nil {
+		return *refusal
+	}
+	return newRun(r, t, plan, throttle).drive(ctx)
 }
 
 // plan lists the services that the request goes to.
@@ -204,6 +219,6 @@
 	return []kinds.Metric{
 		metric("requests_complete", &c.complete), metric("requests_partial", &c.partial), metric("requests_failed", &c.failed),
 		metric("requests_refused", &c.refused), metric("requests_expired", &c.expired), metric("requests_left", &c.left),
-		metric("hedges", &c.hedges), metric("retries", &c.retries), r.levels.metric(),
+		metric("hedges", &c.hedges), metric("retries", &c.retries), metric("requests_throttled", &c.throttled), r.levels.metric(),
 	}
 }
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/zeebo/errs"
 
+	"gooseberrylane.example/coord/admission"
 	"gooseberrylane.example/coord/fanout"
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel/kinds"
@@ -16,9 +17,12 @@
 type run struct {
 	*router
 	task
-	plan    fanout.Plan
-	machine *fanout.Machine
-	ended   chan end
+	plan     fanout.Plan
+	machine  *fanout.Machine
+	ended    chan end
+	throttle *admission.Throttle
+	// begun is when the first upstreams were asked.
+	begun time.Time
 	// parts holds the successful reply of each leg, failure the last reply that was none.
 	parts   []*core.Reply
 	failure *core.Reply
@@ -33,9 +37,9 @@
 	reply    core.Reply
 }
 
-func newRun(r *router, t task, plan fanout.Plan) *run {
+func newRun(r *router, t task, plan fanout.Plan, throttle *admission.Throttle) *run {
 	return &run{
-		router: r, task: t, plan: plan, machine: fanout.New(plan, r.policies),
+		router: r, task: t, plan: plan, machine: fanout.New(plan, r.policies), throttle: throttle, begun: r.Clock.Now(),
 		// No attempt ever waits for the run, which may have ended.
 		ended: make(chan end, mostAttempts(plan)),
 		parts: make([]*core.Reply, len(plan.Legs)), asked: make([][]*core.UpstreamState, len(plan.Legs)),
@@ -87,6 +91,7 @@
 		now = r.Clock.Now()
 		timer.Reset(r.machine.Next(now).Sub(now))
 	}
+	r.learnLoad(now)
 	time.AfterFunc(linger, func() { cancel(errOutlasted) })
 	return r.answer()
 }
