--- a/kernel/kinds/gateway.go
+++ b/kernel/kinds/gateway.go
@@ -151,8 +151,6 @@
 	Deadline time.Time
 	// Once is true for a request that must not be sent again when its outcome is unknown.
 	Once bool
-	// MaxConnections bounds the connections of this VM to the upstream, 0 for no bound.
-	MaxConnections int
 }
 
 // UpstreamClient sends requests to registered upstreams.
--- a/plugins/client/http1/client.go
+++ b/plugins/client/http1/client.go
@@ -20,7 +20,7 @@
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.UpstreamClientKind, Name: "http1",
 		Settings: func() any {
-			return &Settings{DialTimeoutMS: defaultDialTimeoutMS, IdleMS: defaultIdleMS, MaxAnswerBytes: defaultMaxAnswerBytes, ConnectionWaitMS: defaultConnectionWaitMS}
+			return &Settings{DialTimeoutMS: defaultDialTimeoutMS, IdleMS: defaultIdleMS, MaxAnswerBytes: defaultMaxAnswerBytes}
 		},
 		Options: func(s any) fx.Option {
 			return fx.Provide(func(lc fx.Lifecycle, p params) provided {
@@ -36,8 +36,6 @@
 	defaultDialTimeoutMS  = 1000
 	defaultIdleMS         = 4000
 	defaultMaxAnswerBytes = 4 << 20
-	// defaultConnectionWaitMS is about the latency objective of a route.
-	defaultConnectionWaitMS = 100
 	// sweepPeriod is how often idle connections are checked for their age.
 	sweepPeriod = time.Second
 )
@@ -50,9 +48,6 @@
 	IdleMS int64 `json:"idle_ms" validate:"gte=0,lte=600000"`
 	// MaxAnswerBytes bounds the body of an answer. Default 4194304.
 	MaxAnswerBytes int64 `json:"max_answer_bytes" validate:"gte=1"`
-	// ConnectionWaitMS is how long a request waits for a connection while as many as allowed are in use, in milliseconds.
-	// After that one more is opened: those in use may be silent. Default 100.
-	ConnectionWaitMS int64 `json:"connection_wait_ms" validate:"gte=0,lte=60000"`
 }
 
 type params struct {
@@ -101,7 +96,7 @@
 // Send implements kinds.UpstreamClient.
 func (c *client) Send(ctx context.Context, a kinds.Attempt) core.Reply {
 	p := c.pool(a.To)
-	cn, err := p.take(ctx, a.Once, a.MaxConnections)
+	cn, err := p.take(ctx, a.Once)
 	if err != nil {
 		return core.Reply{Outcome: core.OutcomeNotRun, Code: core.CodeConnectFailed, Detail: err.Error()}
 	}
@@ -109,7 +104,7 @@
 	if reusable {
 		p.put(cn)
 	} else {
-		p.drop(cn)
+		cn.close()
 		p.distrust(cn, &reply)
 	}
 	return reply
--- a/plugins/client/http1/client_test.go
+++ b/plugins/client/http1/client_test.go
@@ -84,7 +84,7 @@
 }
 
 func newTestClient() *client {
-	return newClient(params{Wire: echoWire{}, State: kernel.NewState()}, &Settings{DialTimeoutMS: 1000, IdleMS: 4000, MaxAnswerBytes: 1000, ConnectionWaitMS: defaultConnectionWaitMS})
+	return newClient(params{Wire: echoWire{}, State: kernel.NewState()}, &Settings{DialTimeoutMS: 1000, IdleMS: 4000, MaxAnswerBytes: 1000})
 }
 
 // TestConnectionsAreKeptOnlyWhenSound guards against a request on a connection that carries bytes of an earlier answer, or
--- a/plugins/client/http1/pool.go
+++ b/plugins/client/http1/pool.go
@@ -3,24 +3,19 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
 	"gooseberrylane.example/core"
 )
 
-// pool holds the connections to one upstream.
+// pool holds the idle connections to one upstream, the one used last at the end.
 type pool struct {
 	client *client
 	key    poolKey
 
-	mu sync.Mutex
-	// idle holds the connections without a request, the one used last at the end; all counts the others too.
+	mu   sync.Mutex
 	idle []*conn
-	all  int
-	// waiting are requests that may use the next connection that becomes free, the first one first.
-	waiting []chan struct{}
 	// distrusted is the time of the last sign that open connections went silent. Connections opened before are not used.
 	distrusted time.Time
 }
@@ -29,84 +24,30 @@
 // closes idle connections, and a request that crosses such a close has an unknown outcome.
 const freshFor = 500 * time.Millisecond
 
-// take returns an idle connection that looks sound, or opens one. While as many connections are in use as most, 0 for any
-// number, it waits for one of them, but no longer than the settings allow: those in use may be silent for good. once tells
-// that the request must not get lost on a stale connection.
-func (p *pool) take(ctx context.Context, once bool, most int) (*conn, error) {
-	patience := time.NewTimer(time.Duration(p.client.settings.ConnectionWaitMS) * time.Millisecond)
-	defer patience.Stop()
+// take returns an idle connection that looks sound, or opens one. once tells that the request must not get lost on a stale
+// connection.
+func (p *pool) take(ctx context.Context, once bool) (*conn, error) {
 	for {
-		cn, turn := p.next(most)
-		switch {
-		case turn != nil:
-			select {
-			case <-turn:
-			case <-patience.C:
-				p.leave(turn)
-				most = 0
-			case <-ctx.Done():
-				p.leave(turn)
-				return nil, context.Cause(ctx)
-			}
-		case cn == nil:
+		cn := p.pop()
+		if cn == nil {
 			return p.open(ctx)
-		case time.Since(cn.used) < cn.maxIdle && (!once || time.Since(cn.used) < freshFor) && cn.quiet():
+		}
+		if time.Since(cn.used) < cn.maxIdle && (!once || time.Since(cn.used) < freshFor) && cn.quiet() {
 			return cn, nil
-		default:
-			p.drop(cn)
 		}
+		cn.close()
 	}
 }
 
-// next returns an idle connection, a turn to wait for, or neither when a connection may be opened, which is counted then.
-func (p *pool) next(most int) (*conn, chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if last := len(p.idle) - 1; last >= 0 {
-		cn := p.idle[last]
-		p.idle = p.idle[:last]
-		return cn, nil
-	}
-	if most == 0 || p.all < most {
-		p.all++
-		return nil, nil
-	}
-	turn := make(chan struct{})
-	p.waiting = append(p.waiting, turn)
-	return nil, turn
-}
-
-// leave ends the wait for a turn. One that came meanwhile goes to the next request.
-func (p *pool) leave(turn chan struct{}) {
+func (p *pool) pop() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if i := slices.Index(p.waiting, turn); i >= 0 {
-		p.waiting = slices.Delete(p.waiting, i, i+1)
-		return
+	if len(p.idle) == 0 {
+		return nil
 	}
-	p.wake()
-}
-
-// wake gives the first waiting request its turn. The caller holds the lock.
-func (p *pool) wake() {
-	if len(p.waiting) > 0 {
-		close(p.waiting[0])
-		p.waiting = slices.Delete(p.waiting, 0, 1)
-	}
-}
-
-// drop closes a connection that is in use.
-func (p *pool) drop(cn *conn) {
-	cn.close()
-	p.forget()
-}
-
-// forget counts a connection that is in use no longer.
-func (p *pool) forget() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.all--
-	p.wake()
+	cn := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return cn
 }
 
 func (p *pool) open(ctx context.Context) (*conn, error) {
@@ -114,7 +55,6 @@
 	opened := time.Now()
 	nc, err := dialer.DialContext(ctx, "tcp", p.key.address)
 	if err != nil {
-		p.forget()
 		return nil, err
 	}
 	p.client.opened.Add(1)
@@ -126,11 +66,9 @@
 	defer p.mu.Unlock()
 	if cn.opened.Before(p.distrusted) {
 		cn.close()
-		p.all--
-	} else {
-		p.idle = append(p.idle, cn)
+		return
 	}
-	p.wake()
+	p.idle = append(p.idle, cn)
 }
 
 // distrust drops the idle connections that are as old as one that stayed silent: something between the two ends may have
@@ -146,7 +84,6 @@
 	for _, other := range p.idle {
 		if other.opened.Before(p.distrusted) {
 			other.close()
-			p.all--
 		} else {
 			kept = append(kept, other)
 		}
@@ -162,12 +99,11 @@
 	for _, cn := range p.idle {
 		if all || now.Sub(cn.used) >= cn.maxIdle {
 			cn.close()
-			p.all--
 		} else {
 			kept = append(kept, cn)
 		}
 	}
 	clear(p.idle[len(kept):])
 	p.idle = kept
-	return p.all == 0
+	return len(kept) == 0
 }
--- a/plugins/router/fanout/router.go
+++ b/plugins/router/fanout/router.go
@@ -62,9 +62,6 @@
 	// ExtraMargin is the part of the allowance that is used. The rest covers VMs that were replaced and count anew.
 	// Default 0.9.
 	ExtraMargin float64 `json:"extra_margin" validate:"gt=0,lte=1"`
-	// ConnectionShare is the part of the connections of an upstream that all VMs together use. Upstreams accept fewer while
-	// requests wait there. Default 0.8.
-	ConnectionShare float64 `json:"connection_share" validate:"gt=0,lte=1"`
 	// RetryAfterMS is the mean time after which a refused caller is asked to come back, in milliseconds. Default 100.
 	RetryAfterMS float64 `json:"retry_after_ms" validate:"gte=1,lte=60000"`
 	// ThrottleLeast is the smallest share of the requests that is started while upstreams are overloaded. Default 0.05.
@@ -82,7 +79,7 @@
 func defaults() Settings {
 	return Settings{
 		PartialShare: 0.7, AnswerMarginMS: 15, SettleShare: 0.5, HedgeQuantile: 0.9, HedgeMinMS: 3, HedgeMaxShare: 0.3, LingerMS: 250,
-		ExtraRatio: 0.1, ExtraWindowMS: 10_000, ExtraMargin: 0.9, ConnectionShare: 0.8, RetryAfterMS: 100,
+		ExtraRatio: 0.1, ExtraWindowMS: 10_000, ExtraMargin: 0.9, RetryAfterMS: 100,
 		ThrottleLeast: 0.05, ThrottleLower: 0.8, ThrottleRise: 0.4, ThrottleFloor: 0.4,
 	}
 }
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -160,8 +160,7 @@
 func (r *run) attempt(ctx context.Context, s fanout.Send, state *core.UpstreamState) {
 	started := r.Clock.Now()
 	r.Reach.Asked(s.Upstream.Domain)
-	reply := r.Client.Send(ctx, kinds.Attempt{Request: r.request, To: s.Upstream, Deadline: r.plan.Times.GiveUp, Once: !r.plan.Route.Idempotent,
-		MaxConnections: r.maxConnections(r.plan.Legs[s.Leg].Service)})
+	reply := r.Client.Send(ctx, kinds.Attempt{Request: r.request, To: s.Upstream, Deadline: r.plan.Times.GiveUp, Once: !r.plan.Route.Idempotent})
 	if reply.Code == core.CodeCancelled && context.Cause(ctx) == errOutlasted {
 		reply.Code = core.CodeDeadlineExceeded
 	}
@@ -173,12 +172,3 @@
 	r.policies.observe(now, r.plan.Route, r.plan.Legs[s.Leg].Group, s.Upstream.ID, &reply, now.Sub(started))
 	r.ended <- end{s.Leg, s.Upstream.ID, reply}
 }
-
-// maxConnections returns this VM's share of the connections that an upstream of a service accepts.
-func (r *run) maxConnections(service core.ServiceName) int {
-	all := float64(r.view.Routes.Services[service].MaxConnections)
-	if all == 0 {
-		return 0
-	}
-	return max(int(r.settings.ConnectionShare*all*r.Delegate.Share(r.view, service)), 1)
-}
