Notice overload before the request ends

Change: the machine's signs of overload are read after each event. The log line has the legs refused and the time since the arrival.

--- a/coord/fanout/machine.go
+++ b/coord/fanout/machine.go
@@ -109,6 +109,9 @@
 	return m.plan.Route.Gather != nil && !now.Before(m.plan.Times.PartialAt) && 2*(legs-m.inTime) > legs
 }
 
+// Shed returns the number of legs that an upstream refused because of its load.
+func (m *Machine) Shed() int { return m.shed }
+
 // mayRetry reports whether a leg that ended with a reply may be sent to another upstream.
 func (m *Machine) mayRetry(reply *core.Reply) bool {
 	if reply.Outcome == core.OutcomeNotRun {
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -89,9 +89,9 @@
 			return kinds.RoutedAnswer{Status: http.StatusBadGateway, Error: core.Errorf(core.CodeCancelled, "the caller has gone")}
 		}
 		now = r.Clock.Now()
+		r.learnLoad(now)
 		timer.Reset(r.machine.Next(now).Sub(now))
 	}
-	r.learnLoad(now)
 	time.AfterFunc(linger, func() { cancel(errOutlasted) })
 	return r.answer()
 }
--- a/plugins/router/fanout/throttle.go
+++ b/plugins/router/fanout/throttle.go
@@ -43,13 +43,14 @@
 	return &refusal
 }
 
-// learnLoad tells the throttle whether a request that ended met overload.
+// learnLoad tells the throttle as soon as a request meets overload.
 func (r *run) learnLoad(now time.Time) {
 	if !r.machine.Overloaded(now) {
 		return
 	}
 	if share, lowered := r.throttle.Lower(now, r.begun); lowered {
 		covered, all := r.machine.Covered()
-		r.Log.Info("load_throttled", "request", string(r.request.ID), "service", string(r.plan.Legs[0].Service), "legs", all, "covered", covered, "share", share)
+		r.Log.Info("load_throttled", "request", string(r.request.ID), "service", string(r.plan.Legs[0].Service), "legs", all, "covered", covered,
+			"shed", r.machine.Shed(), "after_ms", millisecondsSince(r.request.Arrived), "share", share)
 	}
 }
