Hold back a service only when all its upstreams refuse

The sign of overload counted the refused leg, not its end. Change: a request to one service met overload when it failed after refusals. Result: TestSignsOfOverload failed before ("one of several upstreams is full") and passes; load_test.go passes.

--- a/coord/fanout/machine.go
+++ b/coord/fanout/machine.go
@@ -99,14 +99,15 @@
 	}
 }
 
-// Overloaded reports whether the request met upstreams that have more work than they can do: they refused more of its
-// legs than an answer may leave out, or most legs of a gathered request took too long. A few slow shards do not count.
+// Overloaded reports whether the request met upstreams that have more work than they can do: all that were asked for a
+// single service refused it, or upstreams refused more legs of a gathered request than an answer may leave out, or most of
+// its legs took too long. A few slow or full shards do not count.
 func (m *Machine) Overloaded(now time.Time) bool {
 	legs := len(m.legs)
-	if m.shed > legs-m.need {
-		return true
+	if m.plan.Route.Gather == nil {
+		return m.shed > 0 && m.failed > 0
 	}
-	return m.plan.Route.Gather != nil && !now.Before(m.plan.Times.PartialAt) && 2*(legs-m.inTime) > legs
+	return m.shed > legs-m.need || (!now.Before(m.plan.Times.PartialAt) && 2*(legs-m.inTime) > legs)
 }
 
 // Shed returns the number of legs that an upstream refused because of its load.
