Hedge when silent upstreams look like busy ones

Cause: the rule that most open legs stop hedges also held when all replicas that were asked first were silent. TestSilentReplicaIsHedged (platform) got 504: with three shards, all legs were open until the end. Change: hedges wait only while upstreams answer or refuse other legs of the request, and only until the time of a partial answer.

--- a/coord/fanout/machine.go
+++ b/coord/fanout/machine.go
@@ -213,7 +213,7 @@
 		if state.ended || state.hedgeAt.IsZero() || now.Before(state.hedgeAt) {
 			continue
 		}
-		if m.mostOpen() || !m.mayAskAgain(now, i) || !m.send(now, i, Hedge) {
+		if m.crowded(now) || !m.mayAskAgain(now, i) || !m.send(now, i, Hedge) {
 			// The budget may have room again later.
 			state.hedgeAt = now.Add(m.policies.HedgeDelay(m.plan.Route))
 		}
@@ -222,10 +222,12 @@
 	return m.sends
 }
 
-// mostOpen reports whether more than half of the legs of a gathered request wait for an answer. Then the upstreams have
-// more work than they can do, and second requests would only add to it.
-func (m *Machine) mostOpen() bool {
-	return m.plan.Route.Gather != nil && 2*(len(m.legs)-m.covered-m.failed) > len(m.legs)
+// crowded reports whether most legs of a gathered request wait for an answer although upstreams do answer others. Then they
+// have more work than they can do, and second requests would only add to it. After the time of a partial answer it counts
+// no longer: upstreams that are silent look alike.
+func (m *Machine) crowded(now time.Time) bool {
+	open := len(m.legs) - m.covered - m.failed
+	return 2*open > len(m.legs) && m.covered+m.shed > 0 && now.Before(m.plan.Times.PartialAt)
 }
 
 // Next returns when Wake has something to do. A hedge that is due already is done by the next Wake; all other times are
--- a/coord/fanout/machine_test.go
+++ b/coord/fanout/machine_test.go
@@ -286,6 +286,23 @@
 	c.Assert(m.Wake(at), qt.HasLen, 2)
 }
 
+// TestSilentUpstreamsAreNotTakenForBusyOnes guards against a query that gets no answer because all or most of the replicas
+// that were asked first are silent.
+func TestSilentUpstreamsAreNotTakenForBusyOnes(t *testing.T) {
+	c := qt.New(t)
+	m := fanout.New(gathered(3, 0.5), &policies{extra: 9})
+	m.Start(start)
+	c.Assert(m.Wake(start.Add(hedgeDelay)), qt.HasLen, 3)
+	m = fanout.New(gathered(4, 0.5), &policies{extra: 9})
+	m.Start(start)
+	m.Finished(start, 0, success)
+	sent := 0
+	for at := m.Next(start); m.Verdict() == fanout.Pending && sent == 0; at = m.Next(at) {
+		sent = len(m.Wake(at))
+	}
+	c.Assert(sent, qt.Equals, 3)
+}
+
 // TestSignsOfOverload guards against a few slow or full shards that hold back all requests, and against an overload that
 // nobody notices.
 func TestSignsOfOverload(t *testing.T) {
