Read the VMs of before at the start

Change: the list is read once before the own entry is written; the entries of earlier incarnations name the others. Result: TestVMsOfBeforeAreKnownAtTheStart failed before and passes.

--- a/plugins/membership/store/store.go
+++ b/plugins/membership/store/store.go
@@ -106,6 +106,7 @@
 // follow announces this VM and then follows the entries of the others. Until it is announced, every round tries again.
 func (m *membership) follow(ctx context.Context) {
 	random := m.Random.Generator()
+	m.readEarlier(ctx)
 	announced := false
 	for ctx.Err() == nil {
 		err := m.round(ctx, &announced)
@@ -117,6 +118,17 @@
 	}
 }
 
+// readEarlier takes the entries that the store has from before. VMs that were killed together find each other by those of
+// their earlier incarnations, without waiting for the new ones.
+func (m *membership) readEarlier(ctx context.Context) {
+	entries, _, err := m.Store.VMs(ctx, true)
+	if err != nil {
+		m.Log.Info("vm_list_unavailable", "error", err.Error(), "known", 0)
+		return
+	}
+	m.take(entries)
+}
+
 // round lists once and watches until a call fails.
 func (m *membership) round(ctx context.Context, announced *bool) error {
 	self := m.State.Load().Members.Self
