Wait for the server's view of idle connections in a test

The server takes a connection for idle a moment after the caller has its answer, so under load the second connection could be idle before the first, and was closed in its place. Change: the test waits until the server has tracked each connection as idle.

--- a/plugins/internal/listen/listen_test.go
+++ b/plugins/internal/listen/listen_test.go
@@ -53,11 +53,21 @@
 // TestIdleConnectionsMakeRoom guards against callers that keep idle connections open and so keep new callers out.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
 	c := qt.New(t)
-	address := serve(c, NewServer(http.HandlerFunc(hello), "127.0.0.1:0", 2, nil, discard()))
+	s := NewServer(http.HandlerFunc(hello), "127.0.0.1:0", 2, nil, discard())
+	address := serve(c, s)
+	// A caller has its answer a moment before the server takes its connection for idle.
+	idle, track := make(chan net.Conn, 4), s.server.ConnState
+	s.server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if track(conn, state); state == http.StateIdle {
+			idle <- conn
+		}
+	}
 	first, firstReader := dial(c, address)
 	get(c, first, firstReader)
+	<-idle
 	second, secondReader := dial(c, address)
 	get(c, second, secondReader)
+	<-idle
 	third, thirdReader := dial(c, address)
 	c.Check(get(c, third, thirdReader).StatusCode, qt.Equals, http.StatusOK)
 	_, err := firstReader.ReadByte()
