Let a hedge wait for other legs only once

Silent upstreams look like busy ones. Change: while most legs are open, a due hedge waits for one more hedging delay, and goes then.

--- a/coord/fanout/machine.go
+++ b/coord/fanout/machine.go
@@ -31,7 +31,9 @@
 	// had the leg before.
 	sent, open, repeats int
 	ended, shed         bool
-	hedgeAt             time.Time
+	// waited is true once a hedge was due.
+	waited  bool
+	hedgeAt time.Time
 }
 
 // New returns the machine of a plan.
@@ -213,8 +215,10 @@
 		if state.ended || state.hedgeAt.IsZero() || now.Before(state.hedgeAt) {
 			continue
 		}
-		if m.crowded(now) || !m.mayAskAgain(now, i) || !m.send(now, i, Hedge) {
-			// The budget may have room again later.
+		wait := m.crowded() && !state.waited
+		state.waited = true
+		if wait || !m.mayAskAgain(now, i) || !m.send(now, i, Hedge) {
+			// Legs may be answered until then, or the budget may have room again.
 			state.hedgeAt = now.Add(m.policies.HedgeDelay(m.plan.Route))
 		}
 	}
@@ -223,11 +227,11 @@
 }
 
 // crowded reports whether most legs of a gathered request wait for an answer although upstreams do answer others. Then they
-// have more work than they can do, and second requests would only add to it. After the time of a partial answer it counts
-// no longer: upstreams that are silent look alike.
-func (m *Machine) crowded(now time.Time) bool {
+// may have more work than they can do, and second requests would only add to it. Silent upstreams look alike, so a hedge
+// waits for it only once.
+func (m *Machine) crowded() bool {
 	open := len(m.legs) - m.covered - m.failed
-	return 2*open > len(m.legs) && m.covered+m.shed > 0 && now.Before(m.plan.Times.PartialAt)
+	return 2*open > len(m.legs) && m.covered+m.shed > 0
 }
 
 // Next returns when Wake has something to do. A hedge that is due already is done by the next Wake; all other times are
