--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -ldflags=-linkmode=external -o target/ ./cmd/gooseberrylaned
-go build -o target/review-stand ./review/_stand
+go build -o target/review-stand ./review/2/_stand
