Compare stale reads with the position of the store all the time

Cause: whether stale reads lag was checked at the start and after a failed watch only. While watches succeeded, a lag that began later went unnoticed; and the list of VMs was read with stale reads without any check. TestSlowFirstTableDoesNotHideALag and TestLaggingStoreDoesNotKeepAnOldTable failed now and then for the same reason: when the history was lost while no watch waited, no watch failed.

Change: coord/freshness decides, plugins/freshness/peers does the reads. One VM of the fleet reads the current position once in a third of the time within which a change must be in force, and notifies the VMs of its failure domain and one VM of each other domain, which passes it on. A VM that is not told in time reads it itself, in an order by capacity. A VM whose stale reads do not show a reported position after a quarter of that time does one stale read; if that does not show it either, all waiting watches and pauses are given up and continue with current reads. The time limit is the shorter of config_apply_ms and drain_ms, which were not read before. Routes, upstreams and VMs use the same decision, and the log tells which watch waited where. No loop holds a lock during a call to the store any more.

The tests of the removed type coord/catalog.Staleness go with it. What they guarded is checked by TestLostHistoryEndsTrust (no trust after a lost history, recheck, trust again) and TestChangesAreInForceInTimeWhateverTheLag, which plays lags of any length that begin at any time in fleets whose VMs freeze and are cut off; it fails when the comparison is taken out or the period is the whole limit (both tried).

--- a/kernel/kinds/gateway.go
+++ b/kernel/kinds/gateway.go
@@ -18,6 +18,8 @@
 	CatalogStoreKind kernel.Kind = "catalog_store"
 	// CatalogKind plug-ins keep the routing table and the registered upstreams in the view up to date and provide Catalog.
 	CatalogKind kernel.Kind = "catalog"
+	// FreshnessKind plug-ins find out whether stale reads of the platform's store lag and provide Freshness.
+	FreshnessKind kernel.Kind = "freshness"
 	// RouterKind plug-ins run requests on routes and provide Router.
 	RouterKind kernel.Kind = "router"
 	// DelegateKind plug-ins hand gathered requests to other VMs and provide Delegate.
@@ -73,6 +75,24 @@
 	WatchUpstreams(ctx context.Context, o WatchOptions) ([]catalog.Entry, Cursor, error)
 }
 
+// Freshness finds out whether stale reads of the platform's store lag. Readers record what their reads show.
+type Freshness interface {
+	// StaleReads returns a context that ends when stale reads turn out to lag. A stale read that is still waiting must then be
+	// given up and repeated as a current one. While reads must be current, the context has ended already.
+	StaleReads() context.Context
+	// Newest returns the newest position of the store that this VM or the VMs that reported to it have read.
+	Newest() Cursor
+	// RecordRead records the position that a read of this VM showed. A stale watch that returned the position from which it started
+	// shows none and is not recorded.
+	RecordRead(position Cursor, stale bool)
+	// RecordHistoryGone records that the store lost its history, after which its stale reads may lag by seconds.
+	RecordHistoryGone()
+	// RecordUnavailable records that the store did not answer a read of this VM.
+	RecordUnavailable()
+	// RecheckAfter is the time after which stale reads that lagged may be allowed again.
+	RecheckAfter() time.Duration
+}
+
 // VMEntry is the entry that a VM writes about itself to the store.
 type VMEntry struct {
 	VM core.VM
--- a/plugins/catalog/store/follow.go
+++ b/plugins/catalog/store/follow.go
@@ -10,26 +10,27 @@
 	"gooseberrylane.example/kernel/kinds"
 )
 
+type (
+	listFunc  = func(context.Context) (kinds.Cursor, error)
+	watchFunc = func(context.Context, kinds.WatchOptions) (kinds.Cursor, error)
+)
+
 // follow lists a collection once and then watches it. After a failed watch it lists again, because the watch may have missed
 // changes. It pauses for coalesce after each watch that reported a change.
-func (f *follower) follow(ctx context.Context, collection string, coalesce time.Duration, list func(context.Context) (kinds.Cursor, error), watch func(context.Context, kinds.Cursor) (kinds.Cursor, error)) {
+func (f *follower) follow(ctx context.Context, collection string, coalesce time.Duration, list listFunc, watch watchFunc) {
 	l := &loop{follower: f, collection: collection, random: f.Random.Generator()}
-	list, watch = protectedList(f, collection, list), protectedWatch(f, collection, watch)
+	l.list, l.watch = protectedList(f, collection, list), protectedWatch(f, collection, watch)
 	for ctx.Err() == nil {
-		mayBeStale := f.allowStaleList()
-		cursor, err := list(ctx)
+		listedStale := f.staleReads().Err() == nil
+		cursor, err := l.list(ctx)
 		f.lists.Add(1)
 		for err == nil {
 			l.recordSuccess()
-			f.checkStaleness(ctx)
-			if mayBeStale && !f.allowStaleList() {
+			if listedStale && f.staleReads().Err() != nil {
 				// The store lags or dropped its history, so the stale list may lack changes that watches do not report.
 				break
 			}
-			previousCursor := cursor
-			if cursor, err = f.observePosition(watch(ctx, cursor)); err == nil && cursor != previousCursor {
-				kernel.Sleep(ctx, coalesce)
-			}
+			cursor, err = l.followOnce(ctx, cursor, coalesce)
 		}
 		if err != nil {
 			l.handleError(ctx, err)
@@ -37,8 +38,35 @@
 	}
 }
 
+// followOnce does one watch and the pause after it. It gives them up when stale reads turn out to lag, and returns the cursor unchanged.
+func (l *loop) followOnce(ctx context.Context, cursor kinds.Cursor, coalesce time.Duration) (kinds.Cursor, error) {
+	stale := l.staleReads()
+	allowStale := stale.Err() == nil
+	started := l.Clock.Now()
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if allowStale {
+		defer context.AfterFunc(stale, cancel)()
+	}
+	next, err := l.watch(watchCtx, l.watchOptions(cursor, allowStale))
+	if err != nil && allowStale && stale.Err() != nil && ctx.Err() == nil {
+		l.Log.Info("watch_given_up", "what", l.collection, "position", uint64(cursor), "waited_ms", l.Clock.Now().Sub(started).Milliseconds())
+		return cursor, nil
+	}
+	if err != nil {
+		return cursor, err
+	}
+	if !allowStale || next > cursor {
+		l.Freshness.RecordRead(next, allowStale)
+	}
+	if next != cursor {
+		kernel.Sleep(watchCtx, coalesce)
+	}
+	return next, nil
+}
+
 // protectedList returns a list whose panics are errors, so that an unexpected entry does not end the process.
-func protectedList(f *follower, collection string, list func(context.Context) (kinds.Cursor, error)) func(context.Context) (kinds.Cursor, error) {
+func protectedList(f *follower, collection string, list listFunc) listFunc {
 	return func(ctx context.Context) (cursor kinds.Cursor, err error) {
 		if panicked := kernel.Protect(f.Log, "list of "+collection, func() { cursor, err = list(ctx) }); panicked != nil {
 			return 0, panicked
@@ -48,9 +76,9 @@
 }
 
 // protectedWatch does the same for a watch.
-func protectedWatch(f *follower, collection string, watch func(context.Context, kinds.Cursor) (kinds.Cursor, error)) func(context.Context, kinds.Cursor) (kinds.Cursor, error) {
-	return func(ctx context.Context, after kinds.Cursor) (kinds.Cursor, error) {
-		return protectedList(f, collection, func(ctx context.Context) (kinds.Cursor, error) { return watch(ctx, after) })(ctx)
+func protectedWatch(f *follower, collection string, watch watchFunc) watchFunc {
+	return func(ctx context.Context, o kinds.WatchOptions) (kinds.Cursor, error) {
+		return protectedList(f, collection, func(ctx context.Context) (kinds.Cursor, error) { return watch(ctx, o) })(ctx)
 	}
 }
 
@@ -58,6 +86,8 @@
 type loop struct {
 	*follower
 	collection string
+	list       listFunc
+	watch      watchFunc
 	random     *rand.Rand
 	// consecutiveFailures counts calls that the store did not answer; failingSince is the time of the first of them.
 	consecutiveFailures int
@@ -90,11 +120,9 @@
 	pause := millis(l.settings.RetryMS)
 	if core.CodeOf(err) == core.CodeHistoryGone {
 		l.Log.Info("store_history_gone", "what", l.collection)
-		l.stalenessMu.Lock()
-		l.staleness.HistoryGone()
-		l.stalenessMu.Unlock()
+		l.Freshness.RecordHistoryGone()
 	} else {
-		l.requireStalenessCheck()
+		l.Freshness.RecordUnavailable()
 		if l.consecutiveFailures == 0 {
 			l.failingSince = l.Clock.Now()
 			l.Log.Warn("store_lost", "what", l.collection, "error", err.Error())
--- a/plugins/catalog/store/staleness.go
+++ b/plugins/catalog/store/staleness.go
@@ -4,56 +4,28 @@
 	"context"
 	"time"
 
-	"gooseberrylane.example/coord/catalog"
 	"gooseberrylane.example/core"
-	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
 )
 
-func (f *follower) watchOptions(after kinds.Cursor) kinds.WatchOptions {
-	f.stalenessMu.Lock()
-	defer f.stalenessMu.Unlock()
-	o := kinds.WatchOptions{After: after, Wait: millis(f.settings.WatchMS), AllowStale: f.settings.AllowStale && f.staleness.AllowStale()}
-	if f.settings.AllowStale && !o.AllowStale {
-		// While the store lags, the watch ends in time for the next check.
-		o.Wait = min(o.Wait, catalog.RecheckAfter)
+// staleReads returns a context that ends when reads must be current; see kinds.Freshness.
+func (f *follower) staleReads() context.Context {
+	if f.settings.AllowStale {
+		return f.Freshness.StaleReads()
 	}
-	return o
-}
-
-func (f *follower) allowStaleList() bool {
-	f.stalenessMu.Lock()
-	defer f.stalenessMu.Unlock()
-	return f.settings.AllowStale && f.staleness.AllowStaleList()
-}
-
-// requireStalenessCheck makes a check due before the next watch.
-func (f *follower) requireStalenessCheck() {
-	f.stalenessMu.Lock()
-	defer f.stalenessMu.Unlock()
-	f.staleness.RequireCheck()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ended
 }
 
-// checkStaleness compares the positions of a current and a stale read if a check is due. If a read fails, watches use
-// current reads until the next check.
-func (f *follower) checkStaleness(ctx context.Context) {
-	f.stalenessMu.Lock()
-	defer f.stalenessMu.Unlock()
-	if !f.settings.AllowStale || !f.staleness.NeedsCheck(f.Clock.Now()) {
-		return
+// watchOptions returns the options of the next watch.
+func (f *follower) watchOptions(after kinds.Cursor, allowStale bool) kinds.WatchOptions {
+	o := kinds.WatchOptions{After: after, Wait: millis(f.settings.WatchMS), AllowStale: allowStale}
+	if f.settings.AllowStale && !allowStale {
+		// While the store lags, the watch ends in time for the next comparison.
+		o.Wait = min(o.Wait, f.Freshness.RecheckAfter())
 	}
-	current, err := f.currentPosition(ctx)
-	if err != nil {
-		f.Log.Info("staleness_unknown", "error", err.Error())
-		return
-	}
-	kernel.Sleep(ctx, catalog.AcceptedLag)
-	stale, err := f.Store.Position(ctx, true)
-	if err != nil {
-		f.Log.Info("staleness_unknown", "error", err.Error())
-		return
-	}
-	f.recordCheck(current, stale)
+	return o
 }
 
 // listReader reads one collection. list replaces what was read before, catchUp adds the changes after a position with a current read.
@@ -65,57 +37,35 @@
 // catchUpWait is the time that a watch waits which only collects the changes so far.
 const catchUpWait = time.Millisecond
 
-// readList reads a list that is not older than anything that this process has seen, and at the start not older than the start. An
+// readList reads a list that is not older than anything that this process knows of, and at the start not older than the start. An
 // older list could bring back an upstream that has left or a route that was withdrawn. The changes that a stale list lacks are read
 // with one current call, which costs less than the pages of a current list.
 func (f *follower) readList(r listReader) (kinds.Cursor, error) {
-	if !f.allowStaleList() {
-		return f.observePosition(r.list(false))
+	if f.staleReads().Err() != nil {
+		return f.recordRead(false)(r.list(false))
 	}
-	newest := kinds.Cursor(f.position.Load())
-	cursor, err := r.list(true)
+	newest := f.Freshness.Newest()
+	cursor, err := f.recordRead(true)(r.list(true))
 	if err != nil && core.CodeOf(err) != core.CodeNotFound && core.CodeOf(err) != core.CodeTableUnreadable {
 		return cursor, err
 	}
 	if newest != 0 && cursor >= newest {
-		return f.observePosition(cursor, err)
+		return cursor, err
 	}
-	next, err := r.catchUp(cursor)
+	next, err := f.recordRead(false)(r.catchUp(cursor))
 	if (err == nil && next < newest) || core.CodeOf(err) == core.CodeHistoryGone {
 		f.Log.Info("stale_list_refused", "position", uint64(cursor), "newest", uint64(newest))
-		return f.observePosition(r.list(false))
+		return f.recordRead(false)(r.list(false))
 	}
-	return f.observePosition(next, err)
+	return next, err
 }
 
-// observePosition records the position of a list or a watch and returns its arguments.
-func (f *follower) observePosition(cursor kinds.Cursor, err error) (kinds.Cursor, error) {
-	for old := f.position.Load(); err == nil && old < uint64(cursor); old = f.position.Load() {
-		if f.position.CompareAndSwap(old, uint64(cursor)) {
-			break
+// recordRead returns a function that records the position of a read and returns its arguments.
+func (f *follower) recordRead(stale bool) func(kinds.Cursor, error) (kinds.Cursor, error) {
+	return func(cursor kinds.Cursor, err error) (kinds.Cursor, error) {
+		if err == nil {
+			f.Freshness.RecordRead(cursor, stale)
 		}
+		return cursor, err
 	}
-	return cursor, err
-}
-
-// recordCheck records the positions of a current and of a stale read. The caller holds stalenessMu.
-func (f *follower) recordCheck(current, stale kinds.Cursor) {
-	f.staleness.RecordCheck(f.Clock.Now(), uint64(current), uint64(stale))
-	f.Log.Info("staleness_checked", "current", uint64(current), "stale", uint64(stale), "allow_stale", f.staleness.AllowStale())
-}
-
-// recordStart records the position of the first list of the routes.
-func (f *follower) recordStart(position kinds.Cursor) {
-	f.stalenessMu.Lock()
-	defer f.stalenessMu.Unlock()
-	f.staleness.RecordStart(uint64(position))
-}
-
-// currentPosition returns the position of a current read: that of the first list of the routes for the first check, later that of
-// a call. The caller holds stalenessMu.
-func (f *follower) currentPosition(ctx context.Context) (kinds.Cursor, error) {
-	if start := f.staleness.TakeStart(); start != 0 {
-		return kinds.Cursor(start), nil
-	}
-	return f.Store.Position(ctx, false)
 }
--- a/plugins/catalog/store/store.go
+++ b/plugins/catalog/store/store.go
@@ -72,11 +72,12 @@
 
 type params struct {
 	fx.In
-	Store  kinds.CatalogStore
-	State  *kernel.State
-	Clock  kernel.Clock
-	Random *kernel.Random
-	Log    *slog.Logger
+	Store     kinds.CatalogStore
+	Freshness kinds.Freshness
+	State     *kernel.State
+	Clock     kernel.Clock
+	Random    *kernel.Random
+	Log       *slog.Logger
 }
 
 type provided struct {
@@ -98,11 +99,8 @@
 	unavailable atomic.Bool
 	outage      outage
 
-	// stalenessMu guards staleness, which the loops share, and serialises its checks.
-	stalenessMu sync.Mutex
-	staleness   catalog.Staleness
-	// position is the newest position in the history of the store that this process has seen, 0 before the first.
-	position atomic.Uint64
+	// routesListed is set after the first successful list of the routes.
+	routesListed atomic.Bool
 
 	mu           sync.Mutex
 	directory    *catalog.Directory
@@ -161,12 +159,11 @@
 			return cursor, err
 		},
 	}
-	first := f.position.Load() == 0
 	var cursor kinds.Cursor
 	var err error
-	if first {
+	if !f.routesListed.Load() {
 		// The list of the routes is one object, so a current read at the start costs one call.
-		cursor, err = f.observePosition(reader.list(false))
+		cursor, err = f.recordRead(false)(reader.list(false))
 	} else {
 		cursor, err = f.readList(reader)
 	}
@@ -181,15 +178,14 @@
 	if err == nil && table != nil {
 		f.apply(table, "list")
 	}
-	if err == nil && first {
-		// After apply, because a running check of the other loop delays it.
-		f.recordStart(cursor)
+	if err == nil {
+		f.routesListed.Store(true)
 	}
 	return cursor, err
 }
 
-func (f *follower) watchRoutes(ctx context.Context, after kinds.Cursor) (kinds.Cursor, error) {
-	table, cursor, err := f.Store.WatchRoutes(ctx, f.watchOptions(after))
+func (f *follower) watchRoutes(ctx context.Context, o kinds.WatchOptions) (kinds.Cursor, error) {
+	table, cursor, err := f.Store.WatchRoutes(ctx, o)
 	if core.CodeOf(err) == core.CodeTableUnreadable {
 		f.Log.Error("routes_unreadable", "error", err.Error())
 		return cursor, nil
@@ -246,8 +242,8 @@
 	return cursor, nil
 }
 
-func (f *follower) watchUpstreams(ctx context.Context, after kinds.Cursor) (kinds.Cursor, error) {
-	entries, cursor, err := f.Store.WatchUpstreams(ctx, f.watchOptions(after))
+func (f *follower) watchUpstreams(ctx context.Context, o kinds.WatchOptions) (kinds.Cursor, error) {
+	entries, cursor, err := f.Store.WatchUpstreams(ctx, o)
 	if err != nil {
 		return cursor, err
 	}
--- a/plugins/membership/store/store.go
+++ b/plugins/membership/store/store.go
@@ -60,6 +60,8 @@
 	Log      *slog.Logger
 	Identity kernel.Identity
 	Store    kinds.VMStore
+	// Freshness tells whether reads of the entries may be stale.
+	Freshness kinds.Freshness
 	// Peers is a dependency so that the view holds the address of this VM before this plug-in writes it to the store.
 	Peers kinds.Peers
 }
@@ -145,24 +147,42 @@
 		// After the pause, one list contains the VMs that start together.
 		kernel.Sleep(ctx, time.Duration(m.settings.CoalesceMS)*time.Millisecond)
 	}
-	entries, cursor, err := m.Store.VMs(ctx, true)
+	entries, cursor, err := m.Store.VMs(ctx, m.Freshness.StaleReads().Err() == nil)
 	if err != nil {
 		return err
 	}
 	clear(m.entries)
 	m.apply(entries)
 	for {
-		entries, next, err := m.Store.WatchVMs(ctx, kinds.WatchOptions{After: cursor, Wait: time.Duration(m.settings.WatchMS) * time.Millisecond, AllowStale: true})
-		if err != nil {
+		if cursor, err = m.watch(ctx, cursor); err != nil {
 			return err
 		}
-		if m.apply(entries); next != cursor {
-			kernel.Sleep(ctx, time.Duration(m.settings.CoalesceMS)*time.Millisecond)
-		}
-		cursor = next
 	}
 }
 
+// watch waits for changed entries and pauses after a change. It is given up, without an error, when stale reads turn out to lag.
+func (m *membership) watch(ctx context.Context, after kinds.Cursor) (kinds.Cursor, error) {
+	stale := m.Freshness.StaleReads()
+	options := kinds.WatchOptions{After: after, Wait: time.Duration(m.settings.WatchMS) * time.Millisecond, AllowStale: stale.Err() == nil}
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if options.AllowStale {
+		defer context.AfterFunc(stale, cancel)()
+	}
+	entries, next, err := m.Store.WatchVMs(watchCtx, options)
+	if err != nil && options.AllowStale && stale.Err() != nil && ctx.Err() == nil {
+		m.Log.Info("watch_given_up", "what", "vms", "position", uint64(after))
+		return after, nil
+	}
+	if err != nil {
+		return after, err
+	}
+	if m.apply(entries); next != after {
+		kernel.Sleep(ctx, time.Duration(m.settings.CoalesceMS)*time.Millisecond)
+	}
+	return next, nil
+}
+
 // apply applies changed entries and publishes the members.
 func (m *membership) apply(entries []kinds.VMEntry) {
 	if len(entries) == 0 {
--- a/plugins/membership/store/store_test.go
+++ b/plugins/membership/store/store_test.go
@@ -16,6 +16,11 @@
 	"gooseberrylane.example/kernel/kinds"
 )
 
+// freshReads are stale reads that never lag.
+type freshReads struct{ kinds.Freshness }
+
+func (freshReads) StaleReads() context.Context { return context.Background() }
+
 // fakeStore returns fixed VM entries, or fails announcements and lists when down.
 type fakeStore struct {
 	kinds.VMStore
@@ -52,7 +57,7 @@
 		state := kernel.NewState()
 		lifecycle := fxtest.NewLifecycle(t)
 		newMembership(lifecycle, params{
-			State: state, Random: kernel.NewRandom(1), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Store: store,
+			State: state, Random: kernel.NewRandom(1), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Store: store, Freshness: freshReads{},
 		}, &Settings{Capacity: 1, WatchMS: defaultWatchMS, CoalesceMS: defaultCoalesceMS, RetryMS: defaultRetryMS})
 		lifecycle.RequireStart()
 		time.Sleep(after)
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -13,6 +13,7 @@
 	_ "gooseberrylane.example/plugins/dispatch/owner"
 	_ "gooseberrylane.example/plugins/engine/standard"
 	_ "gooseberrylane.example/plugins/executor/slots"
+	_ "gooseberrylane.example/plugins/freshness/peers"
 	_ "gooseberrylane.example/plugins/frontend/gateway"
 	_ "gooseberrylane.example/plugins/frontend/http"
 	_ "gooseberrylane.example/plugins/frontend/operator"
