Read less while the store has lost its history

A trial that logged each call showed why: a VM whose catch-up found the history gone read current lists twice, because only a failed watch told the other loops about the loss, and stale reads that had caught up were used again only 5 to 6 s later.

--- a/coord/freshness/freshness.go
+++ b/coord/freshness/freshness.go
@@ -20,6 +20,8 @@
 	AcceptedLag time.Duration
 	// RecheckAfter is the time after which stale reads that lagged are compared again.
 	RecheckAfter time.Duration
+	// CurrentWatch bounds a watch with current reads, so that a stale one follows soon after stale reads have caught up.
+	CurrentWatch time.Duration
 	// CallTimeout bounds one read of a position.
 	CallTimeout time.Duration
 }
@@ -32,8 +34,11 @@
 	spreadsPerBound      = 15
 	acceptedLagsPerBound = 4
 	callTimeoutsPerBound = 5
-	// boundsPerRecheck is the time between two comparisons of stale reads that lag, in multiples of the bound.
-	boundsPerRecheck = 4.0 / 3
+	// rechecksPerBound is for the time between two comparisons of stale reads that lag. A comparison costs a tenth of the current
+	// watch that it may save.
+	rechecksPerBound = 2
+	// boundsPerCurrentWatch is for the duration of a watch with current reads.
+	boundsPerCurrentWatch = 4.0 / 3
 )
 
 // maxSteps is the number of Takeover periods that the last VMs in the order wait.
@@ -44,7 +49,7 @@
 	return Settings{
 		Period: bound / periodsPerBound, Takeover: bound / takeoversPerBound, Spread: bound / spreadsPerBound,
 		AcceptedLag: bound / acceptedLagsPerBound, CallTimeout: bound / callTimeoutsPerBound,
-		RecheckAfter: time.Duration(boundsPerRecheck * float64(bound)),
+		RecheckAfter: bound / rechecksPerBound, CurrentWatch: time.Duration(boundsPerCurrentWatch * float64(bound)),
 	}
 }
 
--- a/kernel/kinds/gateway.go
+++ b/kernel/kinds/gateway.go
@@ -89,8 +89,8 @@
 	RecordHistoryGone()
 	// RecordUnavailable records that the store did not answer a read of this VM.
 	RecordUnavailable()
-	// RecheckAfter is the time after which stale reads that lagged may be allowed again.
-	RecheckAfter() time.Duration
+	// CurrentWatch bounds a watch with current reads, so that a stale one follows soon after stale reads have caught up.
+	CurrentWatch() time.Duration
 }
 
 // VMEntry is the entry that a VM writes about itself to the store.
--- a/plugins/catalog/store/follow.go
+++ b/plugins/catalog/store/follow.go
@@ -11,7 +11,7 @@
 )
 
 type (
-	listFunc  = func(context.Context) (kinds.Cursor, error)
+	listFunc  = func(context.Context) (listing, error)
 	watchFunc = func(context.Context, kinds.WatchOptions) (kinds.Cursor, error)
 )
 
@@ -21,12 +21,11 @@
 	l := &loop{follower: f, collection: collection, random: f.Random.Generator()}
 	l.list, l.watch = protectedList(f, collection, list), protectedWatch(f, collection, watch)
 	for ctx.Err() == nil {
-		listedStale := f.staleReads().Err() == nil
-		cursor, err := l.list(ctx)
+		listed, err := l.list(ctx)
 		f.lists.Add(1)
-		for err == nil {
+		for cursor := listed.cursor; err == nil; {
 			l.recordSuccess()
-			if listedStale && f.staleReads().Err() != nil {
+			if listed.stale && f.staleReads().Err() != nil {
 				// The store lags or dropped its history, so the stale list may lack changes that watches do not report.
 				break
 			}
@@ -67,18 +66,21 @@
 
 // protectedList returns a list whose panics are errors, so that an unexpected entry does not end the process.
 func protectedList(f *follower, collection string, list listFunc) listFunc {
-	return func(ctx context.Context) (cursor kinds.Cursor, err error) {
-		if panicked := kernel.Protect(f.Log, "list of "+collection, func() { cursor, err = list(ctx) }); panicked != nil {
-			return 0, panicked
+	return func(ctx context.Context) (listed listing, err error) {
+		if panicked := kernel.Protect(f.Log, "list of "+collection, func() { listed, err = list(ctx) }); panicked != nil {
+			return listing{}, panicked
 		}
-		return cursor, err
+		return listed, err
 	}
 }
 
 // protectedWatch does the same for a watch.
 func protectedWatch(f *follower, collection string, watch watchFunc) watchFunc {
-	return func(ctx context.Context, o kinds.WatchOptions) (kinds.Cursor, error) {
-		return protectedList(f, collection, func(ctx context.Context) (kinds.Cursor, error) { return watch(ctx, o) })(ctx)
+	return func(ctx context.Context, o kinds.WatchOptions) (cursor kinds.Cursor, err error) {
+		if panicked := kernel.Protect(f.Log, "watch of "+collection, func() { cursor, err = watch(ctx, o) }); panicked != nil {
+			return 0, panicked
+		}
+		return cursor, err
 	}
 }
 
--- a/plugins/catalog/store/store.go
+++ b/plugins/catalog/store/store.go
@@ -144,7 +144,7 @@
 	return nil
 }
 
-func (f *follower) listRoutes(ctx context.Context) (kinds.Cursor, error) {
+func (f *follower) listRoutes(ctx context.Context) (listing, error) {
 	var table *core.RoutingTable
 	reader := listReader{
 		list: func(allowStale bool) (cursor kinds.Cursor, err error) {
@@ -159,14 +159,12 @@
 			return cursor, err
 		},
 	}
-	var cursor kinds.Cursor
-	var err error
+	read := f.readList
 	if !f.routesListed.Load() {
 		// The list of the routes is one object, so a current read at the start costs one call.
-		cursor, err = f.recordRead(false)(reader.list(false))
-	} else {
-		cursor, err = f.readList(reader)
+		read = f.readCurrentList
 	}
+	listed, err := read(reader)
 	switch core.CodeOf(err) {
 	case core.CodeNotFound:
 		// No routing table has been written yet; the watch reports the first.
@@ -181,7 +179,7 @@
 	if err == nil {
 		f.routesListed.Store(true)
 	}
-	return cursor, err
+	return listed, err
 }
 
 func (f *follower) watchRoutes(ctx context.Context, o kinds.WatchOptions) (kinds.Cursor, error) {
@@ -210,9 +208,9 @@
 	f.Log.Info("routes_applied", "version", uint64(table.Version), "routes", len(table.Routes), "services", len(table.Services), "source", source)
 }
 
-func (f *follower) listUpstreams(ctx context.Context) (kinds.Cursor, error) {
+func (f *follower) listUpstreams(ctx context.Context) (listing, error) {
 	var entries, changes []catalog.Entry
-	cursor, err := f.readList(listReader{
+	listed, err := f.readList(listReader{
 		list: func(allowStale bool) (cursor kinds.Cursor, err error) {
 			entries, cursor, err = f.Store.Upstreams(ctx, allowStale)
 			changes = nil
@@ -224,7 +222,7 @@
 		},
 	})
 	if err != nil {
-		return cursor, err
+		return listed, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -239,7 +237,7 @@
 	}
 	f.upstreamsListed = true
 	f.update(now, changed, "list", len(entries))
-	return cursor, nil
+	return listed, nil
 }
 
 func (f *follower) watchUpstreams(ctx context.Context, o kinds.WatchOptions) (kinds.Cursor, error) {
--- a/plugins/freshness/peers/peers.go
+++ b/plugins/freshness/peers/peers.go
@@ -187,8 +187,8 @@
 // RecordUnavailable implements kinds.Freshness.
 func (c *checker) RecordUnavailable() { c.update(func(time.Time) { c.tracker.RecordUnavailable() }) }
 
-// RecheckAfter implements kinds.Freshness.
-func (c *checker) RecheckAfter() time.Duration { return c.settings.RecheckAfter }
+// CurrentWatch implements kinds.Freshness.
+func (c *checker) CurrentWatch() time.Duration { return c.settings.CurrentWatch }
 
 func (c *checker) loop(ctx context.Context) {
 	for ctx.Err() == nil {
