Answer the requests in progress before a stop ends

Operators of similar systems reported requests that were taken late in a planned stop, passed on, and cut at its end without an answer.

Cause here: a request that was accepted while the balancer still sent connections, and that lasted beyond the end of the stop, was cut when the process ended; the stop ended with an error. Requests that came later were not passed on, since net/http closes connections after the begin of its shutdown.

A server looks at its connections from time to time only, so the end of its time is no error when all requests have been answered.

--- a/plugins/frontend/gateway/handle.go
+++ b/plugins/frontend/gateway/handle.go
@@ -14,14 +14,14 @@
 	"gooseberrylane.example/core"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
+	"gooseberrylane.example/plugins/internal/stopping"
 )
 
 // handle serves one request of a caller.
 func (g *gateway) handle(c *gin.Context) {
 	request, err := g.read(c)
 	if err != nil {
-		g.Log.Info("request_rejected", "code", err.Code.String(), "detail", err.Detail, "target", c.Request.RequestURI)
-		write(c, g.closing.Load(), kinds.RoutedAnswer{Status: statusOf(err.Code), Error: err})
+		g.reject(c, err)
 		return
 	}
 	var answer kinds.RoutedAnswer
@@ -30,16 +30,30 @@
 		g.Log.Error("request_panicked", "request", string(request.ID))
 		answer = kinds.RoutedAnswer{Status: http.StatusInternalServerError, Error: core.Errorf(core.CodeInternal, "the request may have run")}
 	}
+	if stopping.Ended(c.Request.Context()) && answer.Error != nil && answer.Error.Code == core.CodeCancelled {
+		g.Log.Warn("request_ended_by_stop", "request", string(request.ID), "status", answer.Status)
+		answer.Error = core.Errorf(core.CodeOutcomeUnknown, "the VM is stopping; the request may have run")
+	}
 	// With a new connection, a refused caller may reach a VM of another failure domain.
 	reconnect := answer.Status == http.StatusServiceUnavailable && g.Reach.Isolated()
 	write(c, g.closing.Load() || reconnect, answer)
 }
 
+// reject answers a request that does not reach the router.
+func (g *gateway) reject(c *gin.Context, err *core.Error) {
+	g.Log.Info("request_rejected", "code", err.Code.String(), "detail", err.Detail, "target", c.Request.RequestURI)
+	write(c, g.closing.Load() || err.Code == core.CodeNotReady, kinds.RoutedAnswer{Status: statusOf(err.Code), Error: err})
+}
+
 func statusOf(code core.Code) int {
-	if code == core.CodeBodyTooLarge {
+	switch code {
+	case core.CodeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case core.CodeNotReady:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusBadRequest
 	}
-	return http.StatusBadRequest
 }
 
 // read reads the whole request.
--- a/plugins/frontend/http/http.go
+++ b/plugins/frontend/http/http.go
@@ -18,6 +18,7 @@
 	"gooseberrylane.example/kernel/tlsconf"
 	"gooseberrylane.example/plugins/frontend/internal/web"
 	"gooseberrylane.example/plugins/internal/listen"
+	"gooseberrylane.example/plugins/internal/stopping"
 )
 
 func init() {
@@ -72,35 +73,44 @@
 	params
 	settings *Settings
 	handler  http.Handler
+	files    *tlsconf.Files
 	server   *listen.Server
+	phase    *stopping.Phase
 	stopping atomic.Bool
 }
 
 func newFrontEnd(lc fx.Lifecycle, p params, settings *Settings) *frontEnd {
-	f := &frontEnd{params: p, settings: settings}
+	f := &frontEnd{params: p, settings: settings, phase: stopping.New(p.Clock)}
 	router := web.NewRouter(p.Log)
 	router.Use(f.closeWhileStopping)
-	router.POST("/v1/query", f.query)
+	router.POST("/v1/query", f.phase.Handler(func(c *gin.Context, err *core.Error) { web.WriteError(c, err, 0) }), f.query)
 	router.GET("/v1/ready", f.ready)
 	f.handler = router
 	files := tlsconf.New(settings.TLS, p.Log)
-	f.server = listen.NewServer(router, settings.Listen, settings.MaxConnections, files, p.Log)
+	f.files = files
+	f.server = f.newServer(settings.Listen)
 	lc.Append(fx.Hook{OnStart: files.Start, OnStop: files.Stop})
 	lc.Append(fx.Hook{OnStart: f.server.Start, OnStop: f.stop})
 	return f
 }
 
-// stop reports not ready, keeps serving for BalancerLagMS, and then waits for the requests in flight. It leaves the
-// membership last.
+func (f *frontEnd) newServer(address string) *listen.Server {
+	return listen.NewServer(f.handler, address, f.settings.MaxConnections, f.files, f.Log)
+}
+
+// stop reports not ready, keeps serving for BalancerLagMS, and then waits for the requests in flight. Requests on connections that are
+// still open then are refused when little time is left, and those that are in flight near the end are answered. It leaves the membership
+// last.
 func (f *frontEnd) stop(ctx context.Context) error {
 	f.stopping.Store(true)
+	f.phase.Begin(ctx)
 	lag := time.NewTimer(time.Duration(f.settings.BalancerLagMS) * time.Millisecond)
 	defer lag.Stop()
 	select {
 	case <-lag.C:
 	case <-ctx.Done():
 	}
-	err := f.server.Stop(ctx)
+	err := f.phase.Result(f.server.Stop(ctx))
 	return errs.Combine(err, f.Membership.Leave(ctx))
 }
 
