Choose addresses of tests and of the demo that nothing else can take

Cause: settings of daemons name their ports before these listen. Tests took a free port from the system and closed it; an outgoing connection or another listener could get the same port before the daemon listened ("bind: address already in use", seen at in TestLaggingStoreDoesNotKeepAnOldTable, TestRefusedQueryReachesNoUpstream and TestMainJob).

--- a/cmd/gooseberrylane/cli/vm_test.go
+++ b/cmd/gooseberrylane/cli/vm_test.go
@@ -4,9 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"net"
-	"os"
 	"strings"
 	"time"
 
@@ -15,6 +12,7 @@
 
 	"gooseberrylane.example/coord/config"
 	"gooseberrylane.example/core"
+	"gooseberrylane.example/internal/loopback"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
 	_ "gooseberrylane.example/plugins/standard"
@@ -114,16 +112,9 @@
 
 const testKey = "0123456789abcdef"
 
-// freeAddresses returns unused loopback addresses.
 func freeAddresses(c *qt.C, n int) []string {
-	addresses := make([]string, n)
-	for i := range addresses {
-		// An outgoing connection of another process could take a port of 127.0.0.1 before the daemon listens.
-		l, err := net.Listen("tcp", fmt.Sprintf("127.3.%d.%d:0", os.Getpid()>>8%256, os.Getpid()%256))
-		c.Assert(err, qt.IsNil)
-		defer l.Close()
-		addresses[i] = l.Addr().String()
-	}
+	addresses, err := loopback.Addresses(n)
+	c.Assert(err, qt.IsNil)
 	return addresses
 }
 
--- a/demo/main.go
+++ b/demo/main.go
@@ -12,7 +12,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -21,6 +20,7 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/fx"
 
+	"gooseberrylane.example/internal/loopback"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
 	_ "gooseberrylane.example/plugins/standard"
@@ -130,7 +130,7 @@
 
 func (dm *demo) startDaemons(n int, logs bool) error {
 	for i := range n {
-		addresses, err := freeAddresses(2)
+		addresses, err := loopback.Addresses(2)
 		if err != nil {
 			return err
 		}
@@ -207,21 +207,6 @@
 	return errs.Combine(failures...)
 }
 
-// freeAddresses returns unused loopback addresses.
-func freeAddresses(n int) ([]string, error) {
-	addresses := make([]string, n)
-	for i := range addresses {
-		// An outgoing connection of another process could take a port of 127.0.0.1 before the daemon listens.
-		l, err := net.Listen("tcp", fmt.Sprintf("127.2.%d.%d:0", os.Getpid()>>8%256, os.Getpid()%256))
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		addresses[i] = l.Addr().String()
-	}
-	return addresses, nil
-}
-
 // answer is the part of an answer that the demo prints.
 type answer struct {
 	Name     string `json:"name"`
--- a/test/policies/tier_test.go
+++ b/test/policies/tier_test.go
@@ -6,12 +6,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"testing"
 
 	"go.uber.org/fx"
 
 	"gooseberrylane.example/core"
+	"gooseberrylane.example/internal/loopback"
 	"gooseberrylane.example/kernel"
 	"gooseberrylane.example/kernel/kinds"
 	_ "gooseberrylane.example/plugins/standard"
@@ -56,8 +56,12 @@
 	t := &tier{shards: cfg.groups}
 	svc := t.startUpstreams(tb, cfg)
 	members := make([]map[string]any, vms)
+	peerAddresses, err := loopback.Addresses(vms)
+	if err != nil {
+		tb.Fatal(err)
+	}
 	for i := range members {
-		members[i] = map[string]any{"name": fmt.Sprint("vm-", i), "failure_domain": domain(i), "peer_address": freeAddress(tb)}
+		members[i] = map[string]any{"name": fmt.Sprint("vm-", i), "failure_domain": domain(i), "peer_address": peerAddresses[i]}
 	}
 	for i := range members {
 		t.startDaemon(tb, cfg, svc, members, i)
@@ -95,15 +99,6 @@
 	return svc
 }
 
-func freeAddress(tb testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (t *tier) startDaemon(tb testing.TB, cfg tierConfig, svc *core.Service, members []map[string]any, i int) {
 	plugin := func(name string, settings any) []any {
 		choice := map[string]any{"name": name}
