Do not take the opening of links for silence of a gatherer

Cause: a request is handed over to a gatherer that has 30 ms to accept it.

Change: a gatherer that has not answered since a link to it last ended has 150 ms more, for two handshakes. One that has keeps 30 ms.

--- a/plugins/delegate/peers/peers.go
+++ b/plugins/delegate/peers/peers.go
@@ -23,7 +23,7 @@
 	kernel.Register(kernel.Plugin{
 		Kind: kinds.DelegateKind, Name: "peers",
 		Settings: func() any {
-			return &Settings{Choice: gatherers.Defaults(), AcceptTimeoutMS: defaultAcceptTimeoutMS, SuspectMS: defaultSuspectMS}
+			return &Settings{Choice: gatherers.Defaults(), AcceptTimeoutMS: defaultAcceptTimeoutMS, OpenTimeoutMS: defaultOpenTimeoutMS, SuspectMS: defaultSuspectMS}
 		},
 		Options: func(s any) fx.Option {
 			return fx.Provide(func(lc fx.Lifecycle, p params) provided {
@@ -38,7 +38,9 @@
 
 const (
 	defaultAcceptTimeoutMS = 30
-	defaultSuspectMS       = 2000
+	// defaultOpenTimeoutMS covers two handshakes of links, each of two round trips, on VMs with a tenth of a core.
+	defaultOpenTimeoutMS = 150
+	defaultSuspectMS     = 2000
 )
 
 // Settings of the plug-in.
@@ -47,10 +49,19 @@
 	Choice gatherers.Settings `json:"choice"`
 	// AcceptTimeoutMS is the timeout for the acceptance of a request by a gatherer, in milliseconds. Default 30.
 	AcceptTimeoutMS int64 `json:"accept_ms" validate:"gte=1,lte=60000"`
+	// OpenTimeoutMS is added to AcceptTimeoutMS while the links to and from the gatherer may still have to be opened, in milliseconds.
+	// Default 150.
+	OpenTimeoutMS int64 `json:"open_ms" validate:"gte=0,lte=60000"`
 	// SuspectMS is how long no requests are handed over to a VM that did not respond, in milliseconds. Default 2000.
 	SuspectMS int64 `json:"suspect_ms" validate:"gte=0,lte=600000"`
 }
 
+func (s *Settings) acceptance() gatherers.Acceptance {
+	return gatherers.Acceptance{
+		Timeout: time.Duration(s.AcceptTimeoutMS) * time.Millisecond, OpenTimeout: time.Duration(s.OpenTimeoutMS) * time.Millisecond,
+	}
+}
+
 type params struct {
 	fx.In
 	State    *kernel.State
@@ -77,6 +88,8 @@
 	pending sync.Map
 	// suspects maps core.VMName to the time.Time until which the VM receives no requests.
 	suspects sync.Map
+	// answering holds each core.VMName that has answered since a link to it last ended.
+	answering sync.Map
 	// gathering maps taskKey to *task; work counts them.
 	gathering sync.Map
 	work      *work.Group
@@ -179,7 +192,8 @@
 
 // awaitAcceptance waits until the gatherer accepts the request. It returns Delegated without an answer if it does.
 func (d *delegate) awaitAcceptance(ctx context.Context, r *core.ForwardRequest, to core.VM, h *handover) (kinds.RoutedAnswer, kinds.DelegateOutcome) {
-	timer := time.NewTimer(time.Duration(d.settings.AcceptTimeoutMS) * time.Millisecond)
+	_, answered := d.answering.Load(to.Name)
+	timer := time.NewTimer(d.settings.acceptance().Wait(answered))
 	defer timer.Stop()
 	select {
 	case <-h.accepted:
@@ -250,15 +264,17 @@
 	return nil
 }
 
-func (d *delegate) handleAccept(_ core.VM, m kinds.Message) {
+func (d *delegate) handleAccept(from core.VM, m kinds.Message) {
 	a := m.(*acceptMessage)
+	d.answering.Store(from.Name, true)
 	if h := d.findHandover(a.Sequence, a.Incarnation); h != nil {
 		h.acceptOnce.Do(func() { close(h.accepted) })
 	}
 }
 
-func (d *delegate) handleAnswer(_ core.VM, m kinds.Message) {
+func (d *delegate) handleAnswer(from core.VM, m kinds.Message) {
 	a := m.(*answerMessage)
+	d.answering.Store(from.Name, true)
 	if h := d.findHandover(a.Sequence, a.Incarnation); h != nil {
 		select {
 		case h.answered <- a:
@@ -270,6 +286,7 @@
 
 // handleLinkDown fails the requests that were handed over to a VM whose link ended, because messages may be lost.
 func (d *delegate) handleLinkDown(down kinds.LinkDown) {
+	d.answering.Delete(down.VM.Name)
 	d.pending.Range(func(_, value any) bool {
 		if h := value.(*handover); h.to == down.VM.Name {
 			h.linkDownOnce.Do(func() { close(h.linkDown) })
