Do not wait for silent VMs when links are closed

Cause: at a stop, each link is closed with a handshake that waits up to 5 s for the other VM. With one that is paused or cut off, the stop took as long, up to the end of the grace period, and then ended with an error. This is a suspect for the status that is not 0 in TestRollingReplacementFailsNoQuery; that was not reproduced.

Change: the handshake has twice the time between pings, like a write.

--- a/plugins/peer/websocket/link.go
+++ b/plugins/peer/websocket/link.go
@@ -33,6 +33,7 @@
 var (
 	errReplaced     = linkError.New("the VM was replaced")
 	errStopping     = linkError.New("the VM is stopping")
+	errSilent       = linkError.New("the VM did not confirm the close of the link")
 	errClosedByPeer = linkError.New("the VM closed the link")
 	errLinkEnded    = core.Errorf(core.CodeUnreachable, "the link failed")
 )
@@ -203,11 +204,14 @@
 	return c, nil
 }
 
-// finish writes the queued messages and closes the link. The closing handshake waits until the VM has read everything.
+// finish writes the queued messages and closes the link. The closing handshake waits until the VM has read everything, but not for a
+// VM that is silent.
 func (l *link) finish(c *websocket.Conn) error {
 	if err := l.write(c, l.queue.take()); err != nil {
 		return err
 	}
+	silent := time.AfterFunc(2*l.peers.settings.keepalive(), func() { l.stop(errSilent) })
+	defer silent.Stop()
 	if err := c.Close(websocket.StatusNormalClosure, ""); err != nil {
 		return err
 	}
--- a/plugins/peer/websocket/websocket_test.go
+++ b/plugins/peer/websocket/websocket_test.go
@@ -246,3 +246,21 @@
 		}
 	})
 }
+
+// TestStopDoesNotWaitForASilentVM guards against a stop that takes as long as the closing handshake of a link to a VM that is paused or cut
+// off: the process would still run at the end of its grace period.
+func TestStopDoesNotWaitForASilentVM(t *testing.T) {
+	c := qt.New(t)
+	a, b := startPeer(c, t, "a", nil), startPeer(c, t, "b", nil)
+	proxy, err := faultproxy.Listen("127.0.0.1:0", b.vm().PeerAddress)
+	c.Assert(err, qt.IsNil)
+	defer proxy.Close()
+	to := b.vm()
+	to.PeerAddress = proxy.Address()
+	c.Assert(a.Send(context.Background(), to, note{"first"}), qt.IsNil)
+	c.Assert(<-b.received, qt.Equals, "first")
+	proxy.SetRule(faultproxy.Rule{DropUp: true, DropDown: true})
+	started := time.Now()
+	a.stop()
+	c.Check(time.Since(started) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(started)))
+}
