Pass on only failures that are the upstream's own and promise nothing false

Cause: the failed reply of a single service was passed on whatever it was. A success without a signature counted as a failure, and was then passed on with its status of 200; a 503, 429, 408 or 421 promises that the request did not run.

Change: fanout.MayPassOn decides: a failure is passed on only with the upstream's signature, a status from 400 to 599, and without such a promise when it ran. All else becomes 502. A gathered request never passes on a failed reply, also when another VM gathers it.

--- a/plugins/router/fanout/answer.go
+++ b/plugins/router/fanout/answer.go
@@ -84,10 +84,10 @@
 	return kinds.RoutedAnswer{Status: reply.Status, Header: reply.Header, Body: reply.Body}
 }
 
-// failureAnswer forwards the failed reply of a single service. The failure of one shard is not an answer to a gathered
-// request.
+// failureAnswer forwards the failed reply of a single service if it may be passed on. The failure of one shard is not an answer to a
+// gathered request.
 func (r *run) failureAnswer() kinds.RoutedAnswer {
-	if r.plan.Route.Gather == nil && r.failure != nil && r.failure.HasAnswer() {
+	if r.plan.Route.Gather == nil && r.failure != nil && fanout.MayPassOn(r.failure) {
 		return forwardReply(r.failure)
 	}
 	return errorAnswer(http.StatusBadGateway, core.Errorf(core.CodeOutcomeUnknown, "the request may have run; no upstream answered it completely"))
--- a/plugins/router/fanout/run.go
+++ b/plugins/router/fanout/run.go
@@ -148,7 +148,7 @@
 		// This VM abandoned the attempt because another replica had answered.
 	case result.reply.Code != core.CodeOK:
 		// To the caller, an answer of an upstream is more informative than a lost connection.
-		if r.failure == nil || result.reply.HasAnswer() || !r.failure.HasAnswer() {
+		if r.failure == nil || fanout.MayPassOn(&result.reply) || !fanout.MayPassOn(r.failure) {
 			r.failure = &result.reply
 		}
 		r.Log.Info("attempt_failed", "request", string(r.request.ID), "service", string(r.plan.SubRequests[result.sub].Service),
