--- a/plugins/frontend/gateway/gateway.go
+++ b/plugins/frontend/gateway/gateway.go
@@ -70,7 +70,7 @@
 	settings *Settings
 	callers  *server
 	ready    *http.Server
-	stop     *stopping.Phase
+	phase    *stopping.Phase
 	// stopping is true once the stop has begun; readiness checks then fail.
 	stopping atomic.Bool
 	// closing is true while answers carry Connection: close.
@@ -81,13 +81,13 @@
 
 func newGateway(lc fx.Lifecycle, p params, settings *Settings) *gateway {
 	gin.SetMode(gin.ReleaseMode)
-	g := &gateway{params: p, settings: settings, stop: stopping.New(p.Clock)}
+	g := &gateway{params: p, settings: settings, phase: stopping.New(p.Clock)}
 	callers := gin.New()
 	callers.Use(gin.CustomRecoveryWithWriter(nil, func(c *gin.Context, cause any) {
 		g.Log.Error("request_panicked", "cause", fmt.Sprint(cause))
 		write(c, true, kinds.RoutedAnswer{Status: http.StatusInternalServerError, Error: core.Errorf(core.CodeInternal, "the request failed with an internal error")})
 	}))
-	callers.NoRoute(g.stop.Handler(g.reject), g.handle)
+	callers.NoRoute(g.phase.Handler(g.reject), g.handle)
 	g.callers = newServer(callers, p.Log)
 	ready := gin.New()
 	ready.GET(settings.ReadyPath, g.serveReady)
@@ -135,7 +135,7 @@
 // are still open then are refused when little time is left, and those that are in flight near the end are answered.
 func (g *gateway) shutdown(ctx context.Context) error {
 	g.stopping.Store(true)
-	g.stop.Begin(ctx)
+	g.phase.Begin(ctx)
 	g.Log.Info("not_ready", "reason", "stopping")
 	kernel.Sleep(ctx, time.Duration(g.settings.BalancerLagMS)*time.Millisecond)
 	g.closing.Store(true)
@@ -146,7 +146,7 @@
 		limited, cancel = context.WithDeadline(ctx, deadline.Add(-time.Duration(g.settings.StopMarginMS)*time.Millisecond))
 		defer cancel()
 	}
-	err := g.stop.Result(g.callers.shutdown(limited))
+	err := g.phase.Result(g.callers.shutdown(limited))
 	return errs.Combine(err, g.ready.Close())
 }
 
