--- a/coord/fanout/passon.go
+++ b/coord/fanout/passon.go
@@ -1,9 +1,19 @@
 package fanout
 
-import (
-	"net/http"
+import "gooseberrylane.example/core"
 
-	"gooseberrylane.example/core"
+// Statuses by which an answer promises that the request did not run and never will.
+const (
+	statusRequestTimeout     = 408
+	statusMisdirected        = 421
+	statusTooManyRequests    = 429
+	statusServiceUnavailable = 503
+)
+
+// Statuses of failures.
+const (
+	minFailureStatus = 400
+	maxFailureStatus = 599
 )
 
 // MayPassOn reports whether the failed reply of an upstream may become the answer to the caller as it is. It must be the upstream's own:
@@ -14,9 +24,9 @@
 		return false
 	}
 	switch r.Status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case statusRequestTimeout, statusMisdirected, statusTooManyRequests, statusServiceUnavailable:
 		return false
 	default:
-		return r.Status >= 400 && r.Status < 600
+		return r.Status >= minFailureStatus && r.Status <= maxFailureStatus
 	}
 }
