Let the soak play lags of stale reads, cut and spoiled answers, and 503 of requests that ran

Change: a fault in which stale reads lag while the history stays whole, and upstreams that cut answers with a close or a reset, omit the signature, or answer 503 after they ran. The promises that the soak checks cover the answers to these already.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -18,6 +18,8 @@
 	meanGap  = 120 * time.Millisecond
 	minFault = 200 * time.Millisecond
 	maxFault = 2500 * time.Millisecond
+	// maxCut is about the size of an answer of an upstream, in bytes.
+	maxCut = 200
 	// drainTime is the time for which a draining upstream continues to serve: long enough to record the
 	// requests that arrive later than maxDrainDelay after the last fault.
 	drainTime = maxFault + settleTime
@@ -48,7 +50,20 @@
 		wholeService := random.IntN(2) == 0
 		share := 0.2 + 0.8*random.Float64()
 		b := pick(random, []standin.Behavior{
-			{Silent: true}, {DropAnswer: true}, {Truncated: true}, {Extra: true}, {NotExecuted: true}, {NotExecuted: true, RetryAfter: "0.5"}, {Endless: "head"}, {Endless: "body"}, {Delay: 100 * time.Millisecond}, {Status: 500},
+			{Silent: true},
+			{DropAnswer: true},
+			{Truncated: true},
+			{Extra: true},
+			{NotExecuted: true},
+			{NotExecuted: true, RetryAfter: "0.5"},
+			{Endless: "head"},
+			{Endless: "body"},
+			{Delay: 100 * time.Millisecond},
+			{Status: 500},
+			{Status: http.StatusServiceUnavailable},
+			{Unsigned: true},
+			{Cut: true, CutAfter: random.IntN(maxCut)},
+			{Cut: true, CutAfter: random.IntN(maxCut), Reset: true},
 		})
 		for _, u := range e.replicas() {
 			if u != chosen && (!wholeService || u.service != chosen.service) {
@@ -74,6 +89,11 @@
 		hold()
 		e.store.SetFault(nil)
 	}},
+	{"stale reads lag", func(e *environment, _ *rand.Rand, hold func()) {
+		e.store.FreezeStale()
+		hold()
+		e.store.ThawStale()
+	}},
 	{"store drops its history", func(e *environment, _ *rand.Rand, hold func()) {
 		e.store.FreezeStale()
 		e.store.DropHistory()
