--- a/review/6/_stand/backend.go
+++ b/review/6/_stand/backend.go
@@ -115,20 +115,20 @@
 func (b *backend) entry(state string, seq int, born int64) map[string]any {
 	return map[string]any{
 		"service": b.service, "addr": b.address, "zone": b.zone, "version": "v1", "max_concurrency": b.slots, "state": state,
-		"warmup_left_ms": 0, "seq": seq, "born": born,
+		words.Fields.WarmupLeft: 0, "seq": seq, "born": born,
 	}
 }
 
 func (b *backend) serve(w http.ResponseWriter, r *http.Request, slots chan struct{}) {
 	h := w.Header()
 	if r.URL.Path == "/healthz" {
-		h.Set("Gooseberrylane-Instance-Id", b.id)
+		h.Set(words.Headers.InstanceID, b.id)
 		return
 	}
-	id := r.Header.Get("Gooseberrylane-Attempt-Id")
-	h.Set("Gooseberrylane-Attempt-Id", id)
-	if target := r.Header.Get("Gooseberrylane-Target-Instance"); target != "" && target != b.id {
-		h.Set("Gooseberrylane-Instance-Id", b.id)
+	id := r.Header.Get(words.Headers.AttemptID)
+	h.Set(words.Headers.AttemptID, id)
+	if target := r.Header.Get(words.Headers.TargetInstance); target != "" && target != b.id {
+		h.Set(words.Headers.InstanceID, b.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -138,7 +138,7 @@
 	case b.tokens <- struct{}{}:
 		defer func() { <-b.tokens }()
 	default:
-		h.Set("Gooseberrylane-Not-Executed", "1")
+		h.Set(words.Headers.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -157,7 +157,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	h.Set("Gooseberrylane-Server-Signature", b.id+"."+id)
+	h.Set(words.Headers.Signature, b.id+"."+id)
 	h.Set("Keep-Alive", "timeout=5")
 	if rand.Int64N(100) < b.failures.Load() {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/review/6/_stand/callers.go
+++ b/review/6/_stand/callers.go
@@ -71,8 +71,8 @@
 		request.ContentLength = -1
 	}
 	request.Host = routeHost
-	request.Header.Set("Gooseberrylane-Attempt-Id", one.attempt)
-	request.Header.Set("Gooseberrylane-Deadline-Ms", itoa(int(t.deadline.Milliseconds())))
+	request.Header.Set(words.Headers.AttemptID, one.attempt)
+	request.Header.Set(words.Headers.Deadline, itoa(int(t.deadline.Milliseconds())))
 	one.sent = time.Now()
 	c.mu.Lock()
 	c.calls[one.attempt] = one
--- a/review/6/_stand/main.go
+++ b/review/6/_stand/main.go
@@ -160,7 +160,7 @@
 // route returns a route to one service.
 func route(name, prefix, kind, service string) map[string]any {
 	return map[string]any{
-		"name": name, "host": routeHost, "path_prefix": prefix, "type": kind, "timeout_ms": 4000, "slo_ms": 500, "priority": 1, "max_attempts": 2, "service": service,
+		"name": name, "host": routeHost, words.Fields.Prefix: prefix, "type": kind, "timeout_ms": 4000, "slo_ms": 500, "priority": 1, "max_attempts": 2, "service": service,
 	}
 }
 
--- a/review/6/_stand/vm.go
+++ b/review/6/_stand/vm.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -48,57 +49,16 @@
 		return nil, err
 	}
 	v := &vm{name: name, zone: zone, front: addresses[0], ready: addresses[1], settings: filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log")}
-	text := fmt.Sprintf(`node_name = %q
-role = "gateway"
-machine_class = "front"
-serves = ["front"]
-ip = %q
-zone = %q
-region = "r"
-peer_port_range = [%s,%s]
-seeds = []
-bootstrap = true
-discovery = "platform"
-entry = "vip"
-heartbeat_ms = 1200
-contracts = ["base","drain","config","cost","retry","recover","scatter","platform"]
-[listen]
-front = %q
-ready = %q
-[limits]
-cpu_share = 0.272
-cores = 1
-memory_mb = 206
-max_fds = 2870
-link_mbps = 700.0
-disk_mb = 0
-[bounds]
-seed_lag_s = 3
-reuse_after_s = 2
-stability_window_ms = %d
-ack_ms = 5000
-catch_up_s = 4
-drain_ms = %d
-grace_s = %d
-loss_slack_ms = 200
-config_apply_ms = %d
-downgrade_ms = 250
-max_skew_ms = 12000
-retry_ratio = %v
-retry_window_s = %d
-retry_slack = %d
-recovery_s = 12
-[platform]
-addr = %q
-form = "objects"
-writes_per_s = 400
-reads_per_s = 2000
-history_s = 20
-value_bytes = 1048576
-min_ttl_ms = 1000
-`, name, host, zone, peerPort, peerPort, v.front, v.ready, stabilityWindow.Milliseconds(), drainBound.Milliseconds(), int(graceBound.Seconds()),
-		configApplyBound.Milliseconds(), retryRatio, int(retryWindow.Seconds()), retrySlack, storeAddress)
-	return v, os.WriteFile(v.settings, []byte(text), 0o600)
+	values := settingsValues{
+		Name: name, Host: host, Zone: zone, PeerPort: peerPort, Front: v.front, Ready: v.ready, Store: storeAddress,
+		StabilityWindowMS: stabilityWindow.Milliseconds(), DrainMS: drainBound.Milliseconds(), GraceS: int64(graceBound / time.Second),
+		ConfigApplyMS: configApplyBound.Milliseconds(), RetryWindow: int64(retryWindow / time.Second), RetryRatio: retryRatio, RetrySlack: retrySlack,
+	}
+	var text bytes.Buffer
+	if err := settingsTemplate.Execute(&text, values); err != nil {
+		return nil, err
+	}
+	return v, os.WriteFile(v.settings, text.Bytes(), 0o600)
 }
 
 func (v *vm) start() error {
@@ -108,7 +68,7 @@
 	}
 	defer log.Close()
 	v.process = exec.Command("target/gooseberrylaned", "-source", "machines")
-	v.process.Env = []string{"GOOSEBERRYLANE_CONFIG=" + v.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
+	v.process.Env = []string{words.SettingsVariable + "=" + v.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
 	v.process.Stdout, v.process.Stderr = log, log
 	if err := v.process.Start(); err != nil {
 		return err
